--- a/assign/assign.go
+++ b/assign/assign.go
@@ -55,8 +55,11 @@
 
 // Notes between actors.
 type (
-	beatNote  struct{}
-	cutNote   struct{ v *view }
+	beatNote struct{}
+	cutNote  struct {
+		v     *view
+		usual float64 // share of failed tries in the fleet
+	}
 	levelNote struct{ amount float64 }
 	shutNote  struct{}
 )
@@ -340,20 +343,21 @@
 	zone               string
 	tries, failed, sum float64 // since the last judgement
 	since              float64
-	bad                bool
+	fails              float64
+	late               bool
 	well               float64 // rate answered well
 	judged             float64 // when
 	ease               float64
 	out, hold, next    float64 // out until; how long; no cut or step before
 }
 
-func (t *task) view(zone string) *view {
+func (t *task) view(a *Assigner, zone string) *view {
 	for _, v := range t.views {
 		if v.zone == zone {
 			return v
 		}
 	}
-	v := &view{zone: zone, ease: 1, hold: firstHold, judged: -math.MaxFloat64, since: -1}
+	v := &view{zone: zone, ease: 1, hold: firstHold, judged: -math.MaxFloat64, since: a.now}
 	t.views = append(t.views, v)
 	return v
 }
@@ -377,7 +381,7 @@
 	if t.state != Ready {
 		return 0
 	}
-	v := t.view(zone)
+	v := t.view(a, zone)
 	if a.now < v.out {
 		return 0
 	}
@@ -397,10 +401,7 @@
 	case shutNote:
 		t.state = Gone
 	case Met:
-		v := t.view(n.Zone)
-		if v.tries == 0 {
-			v.since = a.now - n.Span
-		}
+		v := t.view(a, n.Zone)
 		v.tries += float64(n.Tries)
 		v.failed += float64(n.Failed)
 		v.sum += n.Mean * float64(n.Tries-n.Failed)
@@ -409,65 +410,60 @@
 			t.judge(a, v)
 		}
 	case cutNote:
-		t.cut(a, n.v)
+		t.cut(a, n)
 	}
 }
 
 func (t *task) judge(a *Assigner, v *view) {
-	if a.now < v.out {
-		v.tries, v.failed, v.sum = 0, 0, 0
-		return
-	}
 	need := fewest
 	if v.ease < 0.5 {
 		need = fewest / 2
 	}
+	if a.now < v.out {
+		v.clear(a)
+	}
 	if v.tries < need {
 		return
 	}
 	done := v.tries - v.failed
 	mean, mark := v.sum/math.Max(done, 1), a.lateMark()
-	span := math.Max(a.now-v.since, a.num("reports.every", 1))
-	silent := done == 0
-	v.bad = v.failed >= failing*v.tries || mean > mark
-	v.well, v.judged = done/span, a.now
-	if mean > mark {
+	v.fails, v.late = v.failed/v.tries, mean > mark
+	v.well, v.judged = done/math.Max(a.now-v.since, beat), a.now
+	if v.late {
 		v.well *= math.Max(0.8, mark/mean)
 	}
-	if silent {
-		v.out, v.ease = a.now+v.hold, leastEase
-		v.hold = math.Min(2*v.hold, longHold)
-		v.bad = false // not an overload: it answers nothing at all
-		v.judged = -math.MaxFloat64
-		a.logf("task %s silent for %s: out for %.0f s", t.id, v.zone, v.out-a.now)
-	} else if !v.bad && a.now >= v.next {
+	if done == 0 {
+		t.shut(a, v, "silent")
+	} else if !v.bad() && a.now >= v.next {
 		v.ease, v.next = math.Min(1, v.ease+easeStep), a.now+period
-		if v.ease < 0.5 {
-			v.ease += easeStep
-		}
 		if v.ease == 1 {
 			v.hold = firstHold
 		}
 	}
-	if v.bad && v.failed >= failing*v.tries {
-		v.sum = math.Inf(1) // left for cut to tell failing from late
-	}
-	if v.bad {
-		v.next = math.Max(v.next, 0)
-	}
-	v.tries, v.failed = 0, 0
-	if !math.IsInf(v.sum, 1) {
-		v.sum = 0
-	}
+	v.clear(a)
+}
+
+func (v *view) clear(a *Assigner) { v.tries, v.failed, v.sum, v.since = 0, 0, 0, a.now }
+
+func (v *view) bad() bool { return v.late || v.fails >= failing }
+
+// shut keeps a task out of a zone's tables for a while and then puts it on trial: vanished machines,
+// quick errors, a cut between the zone and the task.
+func (t *task) shut(a *Assigner, v *view, why string) {
+	v.out, v.ease = a.now+v.hold, leastEase
+	v.hold = math.Min(2*v.hold, longHold)
+	v.late, v.fails, v.judged = false, 0, -math.MaxFloat64
+	a.logf("task %s %s for %s: out for %.0f s", t.id, why, v.zone, v.out-a.now)
 }
 
 // cut lowers a line whose task answers badly while most do not: a slow machine, a noisy neighbour, a
 // zone with more than it can carry, quick errors. It would harm where the judging proxies are at fault.
-func (t *task) cut(a *Assigner, v *view) {
-	if math.IsInf(v.sum, 1) {
-		v.out, v.ease, v.sum, v.bad = a.now+v.hold, leastEase, 0, false
-		v.hold = math.Min(2*v.hold, longHold)
-		a.logf("task %s failing for %s: out for %.0f s", t.id, v.zone, v.out-a.now)
+func (t *task) cut(a *Assigner, n cutNote) {
+	v := n.v
+	if v.fails >= failing {
+		if v.fails > 2*n.usual {
+			t.shut(a, v, "failing")
+		}
 	} else if a.now >= v.next {
 		v.ease = math.Max(leastEase, v.ease*0.8)
 		v.next = a.now + 1.5*period
@@ -533,13 +529,16 @@
 		p.laid, p.open, p.wrote, p.level = make([][]line, len(a.groups)), nil, nil, 0
 		p.levels = nil
 		p.keys = map[*task]float64{}
-		in := 0
-		for _, t := range a.fleet {
-			if t.state == Ready && t.zone == p.zone {
-				in++
+		p.near = true
+		for _, g := range a.groups { // a kind closed in the zone has its standing table elsewhere
+			in := 0
+			for _, t := range a.fleet {
+				if t.state == Ready && t.zone == p.zone && g.open(t, p.zone) {
+					in++
+				}
 			}
+			p.near = p.near && in >= 4
 		}
-		p.near = in >= 4
 		if p.share == 0 {
 			a.split.admit(a, p)
 		}
@@ -605,9 +604,9 @@
 	byKey(near)
 	byKey(far)
 	byKey(spare)
-	want := math.Inf(1)
-	if z := a.zone(p.zone); z != nil && len(near) > 0 && most > 0 {
-		want = z.most * math.Min(1, have/most)
+	usual, want := most/math.Max(1, float64(len(a.zones))), math.Inf(1)
+	if z := a.zone(p.zone); z != nil && len(near) > 0 {
+		usual, want = z.most, z.most*math.Min(1, have/most)
 	}
 	var lines []line
 	sum := 0.0
@@ -621,6 +620,11 @@
 			lines, sum = append(lines, line{c.t, c.w}), sum+c.w
 		}
 	}
+	for i, l := range lines { // a cold task must not take the part of warm ones that are out
+		if l.t.warm(a) < 1 && usual > 0 {
+			lines[i].w *= math.Min(1, sum/usual)
+		}
+	}
 	for _, c := range spare { // never bare: a doubtful task is better than none
 		if len(lines) < 2 {
 			lines = append(lines, line{c.t, c.t.size * leastEase})
@@ -657,12 +661,13 @@
 }
 
 func (s *split) take(a *Assigner, n note) {
-	heard, bad, well := 0, 0, 0.0
+	heard, bad, well, fails, views := 0, 0, 0.0, 0.0, 0.0
 	for _, t := range a.fleet {
 		seen, ill := false, false
 		for _, v := range t.views {
 			if a.now-v.judged <= 2*period && t.state == Ready {
-				seen, ill = true, ill || v.bad
+				seen, ill = true, ill || v.bad()
+				fails, views = fails+v.fails, views+1
 				well += v.well
 			}
 		}
@@ -708,11 +713,11 @@
 			s.total = 0
 		}
 	}
-	if !over {
+	if !over && s.total == 0 {
 		for _, t := range a.fleet {
 			for _, v := range t.views {
-				if v.bad && a.now-v.judged <= period {
-					a.post(t, cutNote{v})
+				if v.bad() && a.now-v.judged <= period {
+					a.post(t, cutNote{v, fails / views})
 				}
 			}
 		}
