--- a/assign/assign.go
+++ b/assign/assign.go
@@ -460,10 +460,8 @@
 // zone with more than it can carry, quick errors. It would harm where the judging proxies are at fault.
 func (t *task) cut(a *Assigner, n cutNote) {
 	v := n.v
-	if v.fails >= failing {
-		if v.fails > 2*n.usual {
-			t.shut(a, v, "failing")
-		}
+	if v.fails >= failing && !v.late && v.fails > 2*n.usual {
+		t.shut(a, v, "failing")
 	} else if a.now >= v.next {
 		v.ease = math.Max(leastEase, v.ease*0.8)
 		v.next = a.now + 1.5*period
