Fill a hot zone's tables by its proxies' part of all reqs

Once a zone's tasks are three quarters busy its tables hold weight for what its proxies bring, others' tasks making up the rest.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -32,10 +32,12 @@
 	channelPart = 0.5  // of the channel's limit that ordinary orders may fill (design page)
 	urgentPart  = 0.9  // and drains, which must not wait behind them
 
-	beat      = 1.0 // judging tasks: half a period, so that a dead task is not met for a whole one
-	fewest    = 4.0 // tries that make a judgement; fewer are chance
-	failing   = 0.4 // share of failed tries that is no longer a busy task's refusals
-	lateShare = 0.6 // of the response target: above, the mean of answers leaves no room for the slow ones
+	beat      = 1.0  // judging tasks: half a period, so that a dead task is not met for a whole one
+	fewest    = 4.0  // tries that make a judgement; fewer are chance
+	failing   = 0.4  // share of failed tries that is no longer a busy task's refusals
+	lateShare = 0.6  // of the response target: above, the mean of answers leaves no room for the slow ones
+	hotFrom   = 0.75 // mean busy share of a zone's tasks above which its tables count what its proxies bring
+	hotTo     = 0.5
 	leastEase = 0.1 // of the listed weight, for a task on trial: some tries, little harm
 	easeStep  = 0.1 // regained a period, as the total does
 	firstHold = 4.0 // s a failing task stays out before its first trial; doubles with each failed one
@@ -120,6 +122,41 @@
 type zone struct {
 	name string
 	most float64
+	hot  bool // its tasks are nearly full: look at what its proxies bring
+}
+
+func (z *zone) look(a *Assigner) {
+	busy, size := 0.0, 0.0
+	for _, t := range a.fleet {
+		if t.zone == z.name && t.state == Ready {
+			v := t.view(a, z.name)
+			busy, size = busy+v.busy*t.size, size+t.size
+		}
+	}
+	if size > 0 {
+		z.hot = busy/size > hotFrom || z.hot && busy/size > hotTo
+	}
+}
+
+// demand is the part of all proxies' reqs that this zone's proxies bring, as far as we hear them.
+func (z *zone) demand(a *Assigner) float64 {
+	own, all, n := 0.0, 0.0, 0.0
+	for _, p := range a.crowd {
+		if p.joined {
+			r := p.rate()
+			if r == 0 {
+				r = p.typical
+			}
+			if p.zone == z.name {
+				own += r
+			}
+			all, n = all+r, n+1
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return own / all * math.Min(1, n/a.num("proxies", n))
 }
 
 func (a *Assigner) num(name string, def float64) float64 {
@@ -138,6 +175,16 @@
 	return nil
 }
 
+func (a *Assigner) column(name string) int {
+	cols, _ := a.cfg["load.columns"].([]string)
+	for i, c := range cols {
+		if c == name {
+			return i
+		}
+	}
+	return -1
+}
+
 func (a *Assigner) text(name string) string { v, _ := a.cfg[name].(string); return v }
 
 func at[T any](a *Assigner, name string, i int) (v T) {
@@ -345,6 +392,7 @@
 	since              float64
 	fails              float64
 	late               bool
+	busy               float64
 	well               float64 // rate answered well
 	judged             float64 // when
 	ease               float64
@@ -402,6 +450,9 @@
 		t.state = Gone
 	case Met:
 		v := t.view(a, n.Zone)
+		if i := a.column("busy"); i >= 0 && i < len(n.Load) {
+			v.busy += (n.Load[i] - v.busy) / 2
+		}
 		v.tries += float64(n.Tries)
 		v.failed += float64(n.Failed)
 		v.sum += n.Mean * float64(n.Tries-n.Failed)
@@ -605,6 +656,9 @@
 	usual, want := most/math.Max(1, float64(len(a.zones))), math.Inf(1)
 	if z := a.zone(p.zone); z != nil && len(near) > 0 {
 		usual, want = z.most, z.most*math.Min(1, have/most)
+		if z.hot {
+			want = math.Max(want, have*z.demand(a))
+		}
 	}
 	var lines []line
 	sum := 0.0
@@ -687,6 +741,9 @@
 		}
 	}
 	l := s.active(a)
+	for _, z := range a.zones {
+		z.look(a)
+	}
 	use, sum := 0.0, 0.0
 	for _, k := range a.kinds {
 		k.rate = 0
@@ -830,7 +887,8 @@
 // and whether a rule waits for it.
 func (p *proxy) orders(a *Assigner) (out []Order, lines float64, urgent bool) {
 	if !p.own && !p.needsOwn {
-		p.needsOwn = p.level > 0
+		z := a.zone(p.zone)
+		p.needsOwn = p.level > 0 || z != nil && z.hot
 		for _, t := range a.fleet {
 			if p.mayHold(t) && t.part(a, p.zone) < 1 {
 				p.needsOwn = true
