Hold cold tasks to their part of the table; judge silence against the fleet

Cause found on the tap: full tasks refused every try, were judged silent and left the tables, which then held cold lines only. Told from a slow order by the receipts (all within 0.6 s). Now silence counts only where it is unlikely at the fleet's failure share, cold lines keep to the part the full table would give them, and doubtful warm tasks stand in. Also holds against any shrinking table beside cold tasks; may keep a dead task in a table while its zone is cold.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"sort"
 )
 
@@ -34,6 +35,7 @@
 
 	beat      = 1.0  // judging tasks: half a period, so that a dead task is not met for a whole one
 	fewest    = 4.0  // tries that make a judgement; fewer are chance
+	chance    = 0.05 // that a task failing like all others shows no good answer at all
 	failing   = 0.4  // share of failed tries that is no longer a busy task's refusals
 	lateShare = 0.6  // of the response target: above, the mean of answers leaves no room for the slow ones
 	hotFrom   = 0.75 // mean busy share of a zone's tasks above which its tables count what its proxies bring
@@ -57,11 +59,8 @@
 
 // Notes between actors.
 type (
-	beatNote struct{}
-	cutNote  struct {
-		v     *view
-		usual float64 // share of failed tries in the fleet
-	}
+	beatNote  struct{}
+	cutNote   struct{ v *view }
 	levelNote struct{ amount float64 }
 	shutNote  struct{}
 )
@@ -82,19 +81,14 @@
 	like  *reqKind
 }
 
+// shut tells whether the kind is closed in a zone.
+func (k *reqKind) shut(zone string) bool { return len(k.zones) > 0 && !slices.Contains(k.zones, zone) }
+
 func (g *tableGroup) open(t *task, zone string) bool {
 	if g.like.ownZone && t.zone != zone {
 		return false
 	}
-	if len(g.like.zones) == 0 {
-		return true
-	}
-	for _, z := range g.like.zones {
-		if z == t.zone {
-			return true
-		}
-	}
-	return false
+	return !g.like.shut(t.zone)
 }
 
 // Assigner is one instance. It shares nothing with others.
@@ -113,7 +107,7 @@
 	zones                []*zone
 	split                *split
 	desk                 *desk
-	slices               []*slice
+	owned                []*slice
 	nextBeat, nextPeriod float64
 	tick                 int
 }
@@ -138,6 +132,20 @@
 	}
 }
 
+// calm is what a zone's proxies usually bring over what they bring now, 1 at most.
+func (a *Assigner) calm(zone string) float64 {
+	usual, now := 0.0, 0.0
+	for _, p := range a.crowd {
+		if p.joined && p.zone == zone {
+			usual, now = usual+p.typical, now+p.rate()
+		}
+	}
+	if now <= usual || now == 0 {
+		return 1
+	}
+	return usual / now
+}
+
 // demand is the part of all proxies' reqs that this zone's proxies bring, as far as we hear them.
 func (z *zone) demand(a *Assigner) float64 {
 	own, all, n := 0.0, 0.0, 0.0
@@ -311,18 +319,18 @@
 			a.post(p, e)
 		}
 	case Given:
-		for i, s := range a.slices {
+		for i, s := range a.owned {
 			if s.id == e.Slice {
-				a.slices = append(a.slices[:i:i], a.slices[i+1:]...)
+				a.owned = append(a.owned[:i:i], a.owned[i+1:]...)
 				break
 			}
 		}
 		if e.Ours {
-			a.slices = append(a.slices, &slice{id: e.Slice})
+			a.owned = append(a.owned, &slice{id: e.Slice})
 		}
 		return true
 	case Held:
-		for _, s := range a.slices {
+		for _, s := range a.owned {
 			if t := a.tasks[e.Task]; s.id == e.Slice && t != nil {
 				s.lines = append(s.lines, line{t, e.Weight})
 			}
@@ -461,7 +469,7 @@
 			t.judge(a, v)
 		}
 	case cutNote:
-		t.cut(a, n)
+		t.cut(a, n.v)
 	}
 }
 
@@ -483,7 +491,7 @@
 	if v.late {
 		v.well *= math.Max(0.8, mark/mean)
 	}
-	if done == 0 {
+	if done == 0 && math.Pow(a.split.fails, v.tries) < chance {
 		t.shut(a, v, "silent")
 	} else if !v.bad() && a.now >= v.next {
 		v.ease, v.next = math.Min(1, v.ease+easeStep), a.now+period
@@ -509,9 +517,8 @@
 
 // cut lowers a line whose task answers badly while most do not: a slow machine, a noisy neighbour, a
 // zone with more than it can carry, quick errors. It would harm where the judging proxies are at fault.
-func (t *task) cut(a *Assigner, n cutNote) {
-	v := n.v
-	if v.fails >= failing && !v.late && v.fails > 2*n.usual {
+func (t *task) cut(a *Assigner, v *view) {
+	if v.fails >= failing && !v.late && v.fails > 2*a.split.fails {
 		t.shut(a, v, "failing")
 	} else if a.now >= v.next {
 		v.ease = math.Max(leastEase, v.ease*0.8)
@@ -640,6 +647,8 @@
 		switch {
 		case c.w <= 0:
 			spare = append(spare, c)
+		case t.zone != p.zone && t.warm(a) < 1 && a.zone(p.zone) != nil && !g.like.shut(p.zone):
+			// a cold task is its own zone's to warm: each zone knows what it brings there
 		case t.zone == p.zone:
 			near = append(near, c)
 		default:
@@ -672,14 +681,28 @@
 			lines, sum = append(lines, line{c.t, c.w}), sum+c.w
 		}
 	}
-	for i, l := range lines { // a cold task must not take the part of warm ones that are out
-		if l.t.warm(a) < 1 && usual > 0 {
-			lines[i].w *= math.Min(1, sum/usual)
+	// A cold task takes neither the part of warm ones that are out nor a surge: its part of the table
+	// stays what the full table would give it. A doubtful warm task is better than a pushed-over one,
+	// and than none.
+	cold, warm := 0.0, 0.0
+	for _, l := range lines {
+		if l.t.warm(a) < 1 {
+			cold += l.w
+		} else {
+			warm += l.w
+		}
+	}
+	for _, c := range spare {
+		if c.t.warm(a) == 1 && (cold > 0 && warm < usual/2 || len(lines) < 2) {
+			lines, warm = append(lines, line{c.t, c.t.size / 2}), warm+c.t.size/2
 		}
 	}
-	for _, c := range spare { // never bare: a doubtful task is better than none
-		if len(lines) < 2 {
-			lines = append(lines, line{c.t, c.t.size * leastEase})
+	most = math.Min(0.9, cold/math.Max(usual, 1e-9)*a.calm(p.zone))
+	if warm > 0 && cold > most*(cold+warm) {
+		for i, l := range lines {
+			if l.t.warm(a) < 1 {
+				lines[i].w *= most / (1 - most) * warm / cold
+			}
 		}
 	}
 	return lines
@@ -689,6 +712,7 @@
 
 type split struct {
 	total float64 // 0: unset
+	fails float64 // share of failed tries in the fleet
 }
 
 func (s *split) active(a *Assigner) []*proxy {
@@ -754,6 +778,7 @@
 			k.rate += p.rates[k.pos]
 		}
 	}
+	s.fails = fails / math.Max(views, 1)
 	over := heard >= 2 && 2*bad > heard
 	switch {
 	case over:
@@ -772,7 +797,7 @@
 		for _, t := range a.fleet {
 			for _, v := range t.views {
 				if v.bad() && a.now-v.judged <= period {
-					a.post(t, cutNote{v, fails / views})
+					a.post(t, cutNote{v})
 				}
 			}
 		}
@@ -818,7 +843,7 @@
 }
 
 func (d *desk) take(a *Assigner, _ note) {
-	for _, s := range a.slices {
+	for _, s := range a.owned {
 		s.keep(a)
 	}
 	type job struct {
