--- a/assign/assign.go
+++ b/assign/assign.go
@@ -3,7 +3,7 @@
 // A host calls New once for each life of an assigner and then Handle for every batch of events; the
 // orders returned take effect at that batch's time, in their order. The types of both stand in door.go.
 // Inside, tasks, proxies, the split and the desk are actors: they talk only by notes put into inboxes,
-// which the one loop in run empties.
+// which the one loop in run empties. A task's record may be read by all, but changed by its notes only.
 //
 // The ordinary path is the design page's: standing tables, no level, listed weights; under a wide
 // overload one total is split as stored proportions. Beside it stand these mechanisms, at most six:
@@ -11,14 +11,14 @@
 //  1. ease:   a line weighs less than listed while its task is cold, on trial or answers badly alone
 //  2. own:    a proxy leaves its standing table also when that may hold a task needing care, or history
 //  3. fill:   an own table takes its zone's tasks first and others only for what these cannot carry
-//  4. window: orders wait while unacknowledged lines fill the channel's part; drains pass first
+//  4. window: orders wait while unapplied lines fill the channel's part; drains and joins pass first
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand"
 	"slices"
-	"sort"
 )
 
 // The tuned values. Those of the design page keep its words; each says what it guards against.
@@ -37,43 +37,50 @@
 	fewest    = 4.0  // tries that make a judgement; fewer are chance
 	chance    = 0.05 // that a task failing like all others shows no good answer at all
 	failing   = 0.4  // share of failed tries that is no longer a busy task's refusals
-	lateShare = 0.6  // of the response target: above, the mean of answers leaves no room for the slow ones
-	hotFrom   = 0.75 // mean busy share of a zone's tasks above which its tables count what its proxies bring
-	hotTo     = 0.5
-	leastEase = 0.1 // of the listed weight, for a task on trial: some tries, little harm
-	easeStep  = 0.1 // regained a period, as the total does
-	firstHold = 4.0 // s a failing task stays out before its first trial; doubles with each failed one
-	longHold  = 16.0
+	lateShare = 0.6  // of the response target: a mean above it leaves no room for the slow answers
+	hotFrom   = 0.75 // busy share of a zone's tasks above which its tables count what its proxies bring
+	hotTo     = 0.5  // and below which they stop; the gap keeps tables from flapping
+	easeCut   = 0.8  // of a line's weight that is left when its task answers badly
+	easeStep  = 0.1  // regained a period, as the total does
+	leastEase = 0.1  // of the listed weight, for a task on trial: some tries, little harm
+	firstHold = 4.0  // s that a failing task stays out; doubled by each failed trial, against flapping
+	longHold  = 16.0 // s at most, so that a task that is well again is missed no longer
 )
 
 const noLevel = 1e9
 
 type note any
 
-type actor interface{ take(*Assigner, note) }
-
-type post struct {
-	to actor
-	n  note
+// actor is a part with an inbox.
+type actor interface {
+	box() *inbox
+	take(*Assigner, note)
 }
 
-// Notes between actors.
+type inbox struct{ notes []note }
+
+func (b *inbox) box() *inbox { return b }
+
+// Notes between actors, beside the events of door.go.
 type (
 	beatNote  struct{}
 	cutNote   struct{ v *view }
+	goneNote  struct{}
 	levelNote struct{ amount float64 }
-	shutNote  struct{}
 )
 
 type reqKind struct {
 	pos           int
-	name, repeat  string
+	name          string
 	value, target float64
 	zones         []string
 	ownZone       bool
-	rate          float64
+	rate          float64 // of all proxies heard
 }
 
+// shut tells whether the kind is closed in a zone.
+func (k *reqKind) shut(zone string) bool { return len(k.zones) > 0 && !slices.Contains(k.zones, zone) }
+
 // tableGroup joins request kinds that are open to the same tasks and so can share a table.
 type tableGroup struct {
 	pos   int
@@ -81,90 +88,28 @@
 	like  *reqKind
 }
 
-// shut tells whether the kind is closed in a zone.
-func (k *reqKind) shut(zone string) bool { return len(k.zones) > 0 && !slices.Contains(k.zones, zone) }
-
 func (g *tableGroup) open(t *task, zone string) bool {
-	if g.like.ownZone && t.zone != zone {
-		return false
-	}
-	return !g.like.shut(t.zone)
+	return !g.like.shut(t.zone) && (t.zone == zone || !g.like.ownZone)
 }
 
 // Assigner is one instance. It shares nothing with others.
 type Assigner struct {
 	cfg                  Settings
 	now                  float64
+	nextBeat, nextPeriod float64
 	rng                  *rand.Rand
 	out                  []Order
-	inbox                []post
+	busy                 []actor // those with notes in their inbox
 	tasks                map[string]*task
 	fleet                []*task // in the order first listed
-	proxies              map[int]*proxy
-	crowd                []*proxy // by number
-	kinds                []*reqKind
-	groups               []*tableGroup
+	crowd                []*proxy
 	zones                []*zone
+	kinds, byValue       []*reqKind
+	groups               []*tableGroup
 	split                *split
 	desk                 *desk
 	owned                []*slice
-	nextBeat, nextPeriod float64
-	tick                 int
-}
-
-// zone remembers the most listed weight seen in a zone, against which what is left is measured.
-type zone struct {
-	name string
-	most float64
-	hot  bool // its tasks are nearly full: look at what its proxies bring
-}
-
-func (z *zone) look(a *Assigner) {
-	busy, size := 0.0, 0.0
-	for _, t := range a.fleet {
-		if t.zone == z.name && t.state == Ready {
-			v := t.view(a, z.name)
-			busy, size = busy+v.busy*t.size, size+t.size
-		}
-	}
-	if size > 0 {
-		z.hot = busy/size > hotFrom || z.hot && busy/size > hotTo
-	}
-}
-
-// calm is what a zone's proxies usually bring over what they bring now, 1 at most.
-func (a *Assigner) calm(zone string) float64 {
-	usual, now := 0.0, 0.0
-	for _, p := range a.crowd {
-		if p.joined && p.zone == zone {
-			usual, now = usual+p.typical, now+p.rate()
-		}
-	}
-	if now <= usual || now == 0 {
-		return 1
-	}
-	return usual / now
-}
-
-// demand is the part of all proxies' reqs that this zone's proxies bring, as far as we hear them.
-func (z *zone) demand(a *Assigner) float64 {
-	own, all, n := 0.0, 0.0, 0.0
-	for _, p := range a.crowd {
-		if p.joined {
-			r := p.rate()
-			if r == 0 {
-				r = p.typical
-			}
-			if p.zone == z.name {
-				own += r
-			}
-			all, n = all+r, n+1
-		}
-	}
-	if all == 0 {
-		return 0
-	}
-	return own / all * math.Min(1, n/a.num("proxies", n))
+	rings                int
 }
 
 func (a *Assigner) num(name string, def float64) float64 {
@@ -174,29 +119,10 @@
 	return def
 }
 
-func (a *Assigner) zone(name string) *zone {
-	for _, z := range a.zones {
-		if z.name == name {
-			return z
-		}
-	}
-	return nil
-}
-
-func (a *Assigner) column(name string) int {
-	cols, _ := a.cfg["load.columns"].([]string)
-	for i, c := range cols {
-		if c == name {
-			return i
-		}
-	}
-	return -1
-}
-
 func (a *Assigner) text(name string) string { v, _ := a.cfg[name].(string); return v }
 
-func at[T any](a *Assigner, name string, i int) (v T) {
-	if l, ok := a.cfg[name].([]T); ok && i < len(l) {
+func at[T any](cfg Settings, name string, i int) (v T) {
+	if l, ok := cfg[name].([]T); ok && i < len(l) {
 		v = l[i]
 	}
 	return v
@@ -204,34 +130,32 @@
 
 // New starts an assigner's life with no tables and no proxies.
 func New(seed int64, cfg Settings) *Assigner {
-	a := &Assigner{cfg: cfg, rng: rand.New(rand.NewSource(seed)), tasks: map[string]*task{},
-		proxies: map[int]*proxy{}, split: &split{}}
-	a.desk = &desk{limit: a.num("channel.limit", math.Inf(1)), head: a.num("message.lines", 1)}
-	if most := a.num("messages.limit", 0); most > 0 {
-		a.desk.most, a.desk.span = int(most), a.num("messages.span", 10)
-	}
+	a := &Assigner{cfg: cfg, rng: rand.New(rand.NewSource(seed)), tasks: map[string]*task{}, split: &split{}}
+	a.desk = &desk{limit: a.num("channel.limit", math.Inf(1)), head: a.num("message.lines", 1),
+		most: int(a.num("messages.limit", 0)), span: a.num("messages.span", 10)}
 	names, _ := cfg["kind.name"].([]string)
 	for i, n := range names {
-		k := &reqKind{pos: i, name: n, repeat: at[string](a, "kind.repeat", i), value: at[float64](a, "kind.value", i),
-			target: at[float64](a, "kind.target", i), zones: at[[]string](a, "kind.zones", i),
-			ownZone: at[bool](a, "kind.ownZone", i)}
+		k := &reqKind{pos: i, name: n, value: at[float64](cfg, "kind.value", i),
+			target: at[float64](cfg, "kind.target", i), zones: at[[]string](cfg, "kind.zones", i),
+			ownZone: at[bool](cfg, "kind.ownZone", i)}
 		a.kinds = append(a.kinds, k)
-		for _, g := range a.groups {
-			if g.like.ownZone == k.ownZone && fmt.Sprint(g.like.zones) == fmt.Sprint(k.zones) {
-				g.kinds, k = append(g.kinds, i), nil
-				break
-			}
-		}
-		if k != nil {
-			a.groups = append(a.groups, &tableGroup{pos: len(a.groups), kinds: []int{i}, like: k})
+		j := slices.IndexFunc(a.groups, func(g *tableGroup) bool {
+			return g.like.ownZone == k.ownZone && slices.Equal(g.like.zones, k.zones)
+		})
+		if j < 0 {
+			j = len(a.groups)
+			a.groups = append(a.groups, &tableGroup{pos: j, like: k})
 		}
+		a.groups[j].kinds = append(a.groups[j].kinds, i)
 	}
+	a.byValue = slices.Clone(a.kinds)
+	slices.SortStableFunc(a.byValue, func(x, y *reqKind) int { return cmp.Compare(y.value, x.value) })
 	return a
 }
 
 // Handle takes a batch of events and returns the orders that answer it.
 func (a *Assigner) Handle(now float64, events []Event) []Order {
-	a.out = nil
+	a.out, a.now = nil, now
 	if a.nextBeat == 0 {
 		a.nextBeat, a.nextPeriod = now+beat, now+period
 		a.ring(beat)
@@ -239,17 +163,14 @@
 			a.out = append(a.out, Follow{true})
 		}
 	}
-	a.now = now
-	look := false
+	look := a.desk.waiting
 	for _, e := range events {
 		look = a.sort(e) || look
 	}
 	a.run()
 	if now >= a.nextBeat-1e-9 {
-		for a.nextBeat <= now+1e-9 {
-			a.nextBeat += beat
-		}
-		a.ring(a.nextBeat - now)
+		look, a.nextBeat = true, now+beat
+		a.ring(beat)
 		for _, t := range a.fleet {
 			a.post(t, beatNote{})
 		}
@@ -257,74 +178,66 @@
 		if now >= a.nextPeriod-1e-9 {
 			a.nextPeriod = now + period
 			a.post(a.split, beatNote{})
-			a.run()
 		}
-		look = true
 	}
-	if look || a.desk.waiting {
-		a.post(a.desk, beatNote{})
+	if look {
 		a.run()
+		a.post(a.desk, beatNote{})
 	}
+	a.run()
 	return a.out
 }
 
 func (a *Assigner) ring(in float64) {
-	a.tick++
-	a.out = append(a.out, After{in, a.tick % 65536})
+	a.rings++
+	a.out = append(a.out, After{in, a.rings % 65536})
 }
 
 func (a *Assigner) logf(f string, v ...any) { a.out = append(a.out, Log{fmt.Sprintf(f, v...)}) }
 
-func (a *Assigner) post(to actor, n note) { a.inbox = append(a.inbox, post{to, n}) }
+func (a *Assigner) post(to actor, n note) {
+	b := to.box()
+	if len(b.notes) == 0 {
+		a.busy = append(a.busy, to)
+	}
+	b.notes = append(b.notes, n)
+}
 
 // run is the one loop that empties the inboxes.
 func (a *Assigner) run() {
-	for i := 0; i < len(a.inbox); i++ {
-		p := a.inbox[i]
-		p.to.take(a, p.n)
+	for i := 0; i < len(a.busy); i++ {
+		b := a.busy[i].box()
+		notes := b.notes
+		b.notes = nil
+		for _, n := range notes {
+			a.busy[i].take(a, n)
+		}
 	}
-	a.inbox = a.inbox[:0]
+	a.busy = a.busy[:0]
 }
 
 // sort turns ids into objects and puts the event into the inbox it concerns. It tells whether the
-// desk must look at the tables now.
+// desk must look at the tables at once.
 func (a *Assigner) sort(e Event) bool {
 	switch e := e.(type) {
 	case Listed:
-		return a.list(e)
+		a.list(e)
+		return true
 	case Met:
 		if t := a.tasks[e.Task]; t != nil {
 			a.post(t, e)
 		}
 	case Used:
-		if p := a.proxies[e.Proxy]; p != nil {
-			a.post(p, e)
-		}
+		a.post(a.proxy(e.Proxy), e)
 	case Joined:
-		p := a.proxies[e.Proxy]
-		if p == nil {
-			p = &proxy{id: e.Proxy, rates: make([]float64, len(a.kinds))}
-			a.proxies[e.Proxy] = p
-			i := sort.Search(len(a.crowd), func(i int) bool { return a.crowd[i].id > p.id })
-			a.crowd = append(a.crowd[:i], append([]*proxy{p}, a.crowd[i:]...)...)
-		}
-		a.post(p, e)
+		a.post(a.proxy(e.Proxy), e)
 		return true
 	case Left:
-		if p := a.proxies[e.Proxy]; p != nil {
-			a.post(p, e)
-		}
+		a.post(a.proxy(e.Proxy), e)
 	case Applied:
-		if p := a.proxies[e.Proxy]; p != nil {
-			a.post(p, e)
-		}
+		a.post(a.proxy(e.Proxy), e)
 	case Given:
-		for i, s := range a.owned {
-			if s.id == e.Slice {
-				a.owned = append(a.owned[:i:i], a.owned[i+1:]...)
-				break
-			}
-		}
+		a.owned = slices.DeleteFunc(a.owned, func(s *slice) bool { return s.id == e.Slice })
 		if e.Ours {
 			a.owned = append(a.owned, &slice{id: e.Slice})
 		}
@@ -339,53 +252,106 @@
 	return false
 }
 
+// proxy finds or makes the record of a proxy; crowd is kept by number, so that no order hangs on arrival.
+func (a *Assigner) proxy(id int) *proxy {
+	i, ok := slices.BinarySearchFunc(a.crowd, id, func(p *proxy, id int) int { return cmp.Compare(p.id, id) })
+	if !ok {
+		a.crowd = slices.Insert(a.crowd, i, &proxy{id: id, rates: make([]float64, len(a.kinds))})
+	}
+	return a.crowd[i]
+}
+
 // list follows the list of tasks. A task keeps its record when it goes: proxies may hold it still.
-func (a *Assigner) list(e Listed) bool {
+func (a *Assigner) list(e Listed) {
 	if e.Failed {
 		a.out = append(a.out, Follow{true})
-		return false
+		return
 	}
 	named := map[string]bool{}
 	for _, n := range e.Entries {
 		named[n.Task] = true
 		t := a.tasks[n.Task]
 		if t == nil {
-			if n.State == Gone {
-				continue
-			}
 			t = &task{id: n.Task, state: Gone}
 			a.tasks[n.Task] = t
 			a.fleet = append(a.fleet, t)
-			if a.zone(n.Zone) == nil {
-				a.zones = append(a.zones, &zone{name: n.Zone})
-			}
 		}
 		a.post(t, n)
 	}
-	if e.Whole {
-		for _, t := range a.fleet {
-			if !named[t.id] {
-				a.post(t, shutNote{})
-			}
+	for _, t := range a.fleet {
+		if e.Whole && !named[t.id] {
+			a.post(t, goneNote{})
 		}
 	}
 	a.run()
-	now := map[string]float64{}
+	for _, z := range a.zones {
+		z.now = 0
+	}
 	for _, t := range a.fleet {
-		if t.state == Ready {
-			now[t.zone] += t.size
+		if z := a.zone(t.zone); t.state == Ready {
+			z.now += t.size
+			z.most = math.Max(z.most, z.now)
 		}
 	}
+}
+
+// ---- zones
+
+// zone remembers the most listed weight seen in a zone, against which what is left is measured.
+type zone struct {
+	name      string
+	now, most float64
+	hot       bool // its tasks are nearly full: its tables must count what its proxies bring
+}
+
+func (a *Assigner) zone(name string) *zone {
 	for _, z := range a.zones {
-		z.most = math.Max(z.most, now[z.name])
+		if z.name == name {
+			return z
+		}
+	}
+	a.zones = append(a.zones, &zone{name: name})
+	return a.zones[len(a.zones)-1]
+}
+
+func (z *zone) look(a *Assigner) {
+	busy, size := 0.0, 0.0
+	for _, t := range a.fleet {
+		if t.zone == z.name && t.state == Ready {
+			busy, size = busy+t.view(a, z.name).busy*t.size, size+t.size
+		}
+	}
+	z.hot = size > 0 && (busy > hotFrom*size || z.hot && busy > hotTo*size)
+}
+
+// brings gives what a zone's proxies bring, what they usually bring, and their part of all reqs as far
+// as this assigner can know: the proxies of others are taken to bring as much each as its own.
+func (z *zone) brings(a *Assigner) (now, usual, part float64) {
+	all, n := 0.0, 0.0
+	for _, p := range a.crowd {
+		if !p.joined {
+			continue
+		}
+		r := p.rate()
+		if r == 0 {
+			r = p.typical
+		}
+		if p.zone == z.name {
+			now, usual = now+r, usual+p.typical
+		}
+		all, n = all+r, n+1
+	}
+	if all > 0 {
+		part = now / all * math.Min(1, n/a.num("proxies", n))
 	}
-	return true
+	return now, usual, part
 }
 
 // ---- tasks
 
 // task is the one record of a task.
 type task struct {
+	inbox
 	id, zone string
 	size     float64
 	state    State
@@ -395,38 +361,34 @@
 
 // view is a task as the proxies of one zone meet it: a cut between zones is no illness of the task.
 type view struct {
-	zone               string
-	tries, failed, sum float64 // since the last judgement
-	since              float64
-	fails              float64
-	late               bool
-	busy               float64
-	well               float64 // rate answered well
-	judged             float64 // when
-	ease               float64
-	out, hold, next    float64 // out until; how long; no cut or step before
+	zone                      string
+	tries, failed, sum, since float64 // not yet judged
+	judged, well, fails       float64 // when; the rate answered well then, and the share of failures
+	late                      bool    // the good answers come late
+	busy                      float64
+	ease, next                float64 // and when it may move again
+	out, hold                 float64 // kept out until; for how long the next time
 }
 
+func (v *view) bad() bool { return v.late || v.fails >= failing }
+
 func (t *task) view(a *Assigner, zone string) *view {
 	for _, v := range t.views {
 		if v.zone == zone {
 			return v
 		}
 	}
-	v := &view{zone: zone, ease: 1, hold: firstHold, judged: -math.MaxFloat64, since: a.now}
+	v := &view{zone: zone, ease: 1, hold: firstHold, judged: -unheard, since: a.now}
 	t.views = append(t.views, v)
 	return v
 }
 
-// warm is the part of its capacity that a started task can surely do: the list's start and the
+// warm is the part of its capacity that a started task can surely do: by the list's start and the
 // settings' slowest curve, whatever the true one.
 func (t *task) warm(a *Assigner) float64 {
-	if t.started == 0 {
-		return 1
-	}
 	from, long := a.num("cold.share", 1), a.num("cold.time", 0)
 	age := a.now - t.started
-	if age >= long {
+	if t.started == 0 || age >= long {
 		return 1
 	}
 	return from + (1-from)*math.Max(age, 0)/long
@@ -434,11 +396,8 @@
 
 // part is how much of its listed weight a line of this task may have for proxies of a zone.
 func (t *task) part(a *Assigner, zone string) float64 {
-	if t.state != Ready {
-		return 0
-	}
 	v := t.view(a, zone)
-	if a.now < v.out {
+	if t.state != Ready || a.now < v.out {
 		return 0
 	}
 	return math.Min(v.ease, t.warm(a))
@@ -454,15 +413,15 @@
 		if t.size <= 0 {
 			t.size = 1
 		}
-	case shutNote:
+	case goneNote:
 		t.state = Gone
 	case Met:
 		v := t.view(a, n.Zone)
-		if i := a.column("busy"); i >= 0 && i < len(n.Load) {
+		cols, _ := a.cfg["load.columns"].([]string)
+		if i := slices.Index(cols, "busy"); i >= 0 && i < len(n.Load) {
 			v.busy += (n.Load[i] - v.busy) / 2
 		}
-		v.tries += float64(n.Tries)
-		v.failed += float64(n.Failed)
+		v.tries, v.failed = v.tries+float64(n.Tries), v.failed+float64(n.Failed)
 		v.sum += n.Mean * float64(n.Tries-n.Failed)
 	case beatNote:
 		for _, v := range t.views {
@@ -474,67 +433,53 @@
 }
 
 func (t *task) judge(a *Assigner, v *view) {
-	need := fewest
-	if v.ease < 0.5 {
-		need = fewest / 2
-	}
-	if a.now < v.out {
-		v.clear(a)
-	}
-	if v.tries < need {
+	if a.now >= v.out && (v.tries < fewest/2 || v.tries < fewest && v.ease >= 0.5) {
 		return
 	}
-	done := v.tries - v.failed
-	mean, mark := v.sum/math.Max(done, 1), a.lateMark()
-	v.fails, v.late = v.failed/v.tries, mean > mark
-	v.well, v.judged = done/math.Max(a.now-v.since, beat), a.now
-	if v.late {
-		v.well *= math.Max(0.8, mark/mean)
-	}
-	if done == 0 && math.Pow(a.split.fails, v.tries) < chance {
-		t.shut(a, v, "silent")
-	} else if !v.bad() && a.now >= v.next {
-		v.ease, v.next = math.Min(1, v.ease+easeStep), a.now+period
-		if v.ease == 1 {
-			v.hold = firstHold
+	if a.now >= v.out {
+		done := v.tries - v.failed
+		mean, mark := v.sum/math.Max(done, 1), a.lateMark()
+		v.fails, v.late = v.failed/v.tries, mean > mark
+		v.well, v.judged = done/math.Max(a.now-v.since, beat)*math.Min(1, math.Max(0.8, mark/mean)), a.now
+		if done == 0 && math.Pow(a.split.fails, v.tries) < chance {
+			t.shut(a, v, "silent")
+		} else if !v.bad() && a.now >= v.next {
+			v.ease, v.next = math.Min(1, v.ease+easeStep), a.now+period
+			if v.ease == 1 {
+				v.hold = firstHold
+			}
 		}
 	}
-	v.clear(a)
+	v.tries, v.failed, v.sum, v.since = 0, 0, 0, a.now
 }
 
-func (v *view) clear(a *Assigner) { v.tries, v.failed, v.sum, v.since = 0, 0, 0, a.now }
-
-func (v *view) bad() bool { return v.late || v.fails >= failing }
-
 // shut keeps a task out of a zone's tables for a while and then puts it on trial: vanished machines,
 // quick errors, a cut between the zone and the task.
 func (t *task) shut(a *Assigner, v *view, why string) {
 	v.out, v.ease = a.now+v.hold, leastEase
 	v.hold = math.Min(2*v.hold, longHold)
-	v.late, v.fails, v.judged = false, 0, -math.MaxFloat64
+	v.late, v.fails, v.judged = false, 0, -unheard
 	a.logf("task %s %s for %s: out for %.0f s", t.id, why, v.zone, v.out-a.now)
 }
 
 // cut lowers a line whose task answers badly while most do not: a slow machine, a noisy neighbour, a
-// zone with more than it can carry, quick errors. It would harm where the judging proxies are at fault.
+// zone with more than it can carry. One that fails and answers late is overloaded, and shutting it would
+// push the next one over; one that fails and answers quickly is ill. It would harm where the judging
+// proxies are at fault themselves.
 func (t *task) cut(a *Assigner, v *view) {
 	if v.fails >= failing && !v.late && v.fails > 2*a.split.fails {
 		t.shut(a, v, "failing")
 	} else if a.now >= v.next {
-		v.ease = math.Max(leastEase, v.ease*0.8)
-		v.next = a.now + 1.5*period
+		v.ease, v.next = math.Max(leastEase, v.ease*easeCut), a.now+1.5*period // reports trail by one
 	}
 }
 
 // lateMark is the mean answer time above which a task counts as answering badly.
 func (a *Assigner) lateMark() float64 {
-	sum, n := 0.0, 0.0
+	sum, n := 0.0, 1e-9
 	for _, k := range a.kinds {
 		sum, n = sum+k.target*(k.rate+0.01), n+k.rate+0.01
 	}
-	if n == 0 {
-		return math.Inf(1)
-	}
 	return lateShare * sum / n
 }
 
@@ -545,47 +490,59 @@
 	w float64
 }
 
+func weight(l []line, t *task) float64 {
+	if i := slices.IndexFunc(l, func(x line) bool { return x.t == t }); i >= 0 {
+		return l[i].w
+	}
+	return 0
+}
+
+func setLine(l []line, n line) []line {
+	l = slices.DeleteFunc(l, func(x line) bool { return x.t == n.t })
+	if n.w > 0 {
+		l = append(l, n)
+	}
+	return l
+}
+
 type sent struct {
 	mark  int
 	lines float64
 }
 
 type proxy struct {
-	id       int
-	zone     string
-	joined   bool
-	near     bool // its standing table can hold only tasks of its zone
-	own      bool // bound to its own tables
-	needsOwn bool
-	typical  float64
-	rates    []float64 // by kind
-	heard    float64
-	share    float64
-	level    float64 // 0: none
-	keys     map[*task]float64
-	laid     [][]line // by group
-	levels   []float64
-	wrote    []float64 // times of messages
-	open     []sent    // not yet applied
-}
-
-func (p *proxy) rate() float64 {
-	s := 0.0
+	inbox
+	id           int
+	zone         string
+	joined       bool
+	near         bool // its standing table can hold only tasks of its zone
+	own          bool // bound to its own tables
+	history      bool // it may hold what nobody here knows
+	typical      float64
+	rates        []float64 // by kind
+	heard        float64
+	share, level float64 // level 0: none
+	keys         map[*task]float64
+	laid         [][]line // by group
+	levels       []float64
+	wrote        []float64 // times of messages
+	open         []sent    // not yet applied
+}
+
+func (p *proxy) rate() (sum float64) {
 	for _, r := range p.rates {
-		s += r
+		sum += r
 	}
-	return s
+	return sum
 }
 
 func (p *proxy) take(a *Assigner, n note) {
 	switch n := n.(type) {
 	case Joined:
 		p.joined, p.zone, p.typical, p.heard = true, n.Zone, n.Rate, a.now
-		p.own, p.needsOwn = false, !n.Fresh
-		p.laid, p.open, p.wrote, p.level = make([][]line, len(a.groups)), nil, nil, 0
-		p.levels = nil
+		p.own, p.history, p.near, p.level = false, !n.Fresh, true, 0
+		p.laid, p.levels, p.open, p.wrote = make([][]line, len(a.groups)), nil, nil, nil
 		p.keys = map[*task]float64{}
-		p.near = true
 		for _, g := range a.groups { // a kind closed in the zone has its standing table elsewhere
 			in := 0
 			for _, t := range a.fleet {
@@ -603,120 +560,203 @@
 	case Used:
 		for _, k := range a.kinds {
 			if k.name == n.Kind && n.Span > 0 {
-				x := float64(n.Reqs) / n.Span
-				w := math.Min(1, n.Span/period)
-				p.rates[k.pos] += (x - p.rates[k.pos]) * w
+				p.rates[k.pos] += (float64(n.Reqs)/n.Span - p.rates[k.pos]) * math.Min(1, n.Span/period)
 				p.heard = a.now
 			}
 		}
 	case Applied:
-		for i, s := range p.open {
-			if s.mark == n.Mark {
-				p.open = p.open[i+1:]
-				break
-			}
-		}
+		i := slices.IndexFunc(p.open, func(s sent) bool { return s.mark == n.Mark })
+		p.open = p.open[i+1:]
 	case levelNote:
 		p.level = n.amount
 	}
 }
 
-// mayHold tells whether a standing table that nobody told us of may name the task.
-func (p *proxy) mayHold(t *task) bool { return !p.near || t.zone == p.zone }
+// mustLeave tells whether the standing table has to go, and whether a rule waits for that.
+func (p *proxy) mustLeave(a *Assigner) (leave, urgent bool) {
+	leave = p.history || p.level > 0 || a.zone(p.zone).hot
+	for _, t := range a.fleet {
+		if (!p.near || t.zone == p.zone) && t.part(a, p.zone) < 1 {
+			leave, urgent = true, urgent || t.state != Ready || t.warm(a) < 1
+		}
+	}
+	return leave, urgent || p.history
+}
 
 // draw gives the lines of an own table: the zone's tasks first, since crossing zones is charged, then
 // others drawn at listed weights until the table can carry what the zone's tasks usually do.
 func (p *proxy) draw(a *Assigner, g *tableGroup) []line {
 	type cand struct {
-		t    *task
-		w, k float64
+		line
+		rank int // 0: of the zone; 1: of another; 2: out, and used only in need
+		key  float64
 	}
-	var near, far, spare []cand
+	var cands []cand
 	have, most := 0.0, 0.0
 	for _, t := range a.fleet {
 		if t.state != Ready || !g.open(t, p.zone) {
 			continue
 		}
-		k, ok := p.keys[t]
-		if !ok {
-			k = a.rng.ExpFloat64() / t.size
-			p.keys[t] = k
+		if p.keys[t] == 0 {
+			p.keys[t] = a.rng.ExpFloat64() / t.size
 		}
-		c := cand{t, t.size * t.part(a, p.zone), k}
+		c := cand{line{t, t.size * t.part(a, p.zone)}, 0, p.keys[t]}
 		have += c.w
-		switch {
-		case c.w <= 0:
-			spare = append(spare, c)
-		case t.zone != p.zone && t.warm(a) < 1 && a.zone(p.zone) != nil && !g.like.shut(p.zone):
-			// a cold task is its own zone's to warm: each zone knows what it brings there
-		case t.zone == p.zone:
-			near = append(near, c)
-		default:
-			far = append(far, c)
+		if t.zone != p.zone {
+			c.rank = 1
+			if t.warm(a) < 1 && !g.like.shut(p.zone) {
+				continue // its own zone's proxies warm it: they know what they bring there
+			}
+		}
+		if c.w <= 0 {
+			c.rank, c.w = 2, t.size/2
 		}
+		cands = append(cands, c)
 	}
+	slices.SortStableFunc(cands, func(x, y cand) int {
+		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.key, y.key))
+	})
 	for _, z := range a.zones {
 		most += z.most
 	}
-	byKey := func(l []cand) { sort.SliceStable(l, func(i, j int) bool { return l[i].k < l[j].k }) }
-	byKey(near)
-	byKey(far)
-	byKey(spare)
+	home := a.zone(p.zone)
+	now, usualRate, part := home.brings(a)
 	usual, want := most/math.Max(1, float64(len(a.zones))), math.Inf(1)
-	if z := a.zone(p.zone); z != nil && len(near) > 0 {
-		usual, want = z.most, z.most*math.Min(1, have/most)
-		if z.hot {
-			want = math.Max(want, have*z.demand(a))
+	if len(cands) > 0 && cands[0].rank == 0 {
+		usual, want = home.most, home.most*math.Min(1, have/most)
+		if home.hot {
+			want = math.Max(want, have*part)
 		}
 	}
 	var lines []line
-	sum := 0.0
-	for _, c := range near {
-		if len(lines) < tableSize {
-			lines, sum = append(lines, line{c.t, c.w}), sum+c.w
+	sum, cold := 0.0, 0.0
+	for _, c := range cands {
+		ok := len(lines) < tableSize && (c.rank == 0 || want-sum > c.w/2)
+		if c.rank == 2 { // a doubtful task is better than none, and than a pushed-over cold one
+			ok = c.t.warm(a) == 1 && (len(lines) < 2 || cold > 0 && sum-cold < usual/2)
+		}
+		if ok {
+			lines, sum = append(lines, c.line), sum+c.w
+			if c.t.warm(a) < 1 {
+				cold += c.w
+			}
 		}
 	}
-	for _, c := range far {
-		if len(lines) < tableSize && want-sum > c.w/2 {
-			lines, sum = append(lines, line{c.t, c.w}), sum+c.w
+	// A cold task takes neither the part of warm ones that are out nor a surge: its part of the table
+	// stays what the full table would give it.
+	top := math.Min(0.9, cold/math.Max(usual, 1e-9)*math.Min(1, usualRate/math.Max(now, 1e-9)))
+	if warm := sum - cold; warm > 0 && cold > top*sum {
+		for i, l := range lines {
+			if l.t.warm(a) < 1 {
+				lines[i].w *= top / (1 - top) * warm / cold
+			}
 		}
 	}
-	// A cold task takes neither the part of warm ones that are out nor a surge: its part of the table
-	// stays what the full table would give it. A doubtful warm task is better than a pushed-over one,
-	// and than none.
-	cold, warm := 0.0, 0.0
-	for _, l := range lines {
-		if l.t.warm(a) < 1 {
-			cold += l.w
-		} else {
-			warm += l.w
+	return lines
+}
+
+// orders gives what a proxy's tables lack against what they should hold, the lines that this costs,
+// and whether a rule waits for it.
+func (p *proxy) orders(a *Assigner) (out []Order, lines float64, urgent bool) {
+	if !p.own {
+		leave, u := p.mustLeave(a)
+		if urgent = u; !leave {
+			return nil, 0, false
 		}
 	}
-	for _, c := range spare {
-		if c.t.warm(a) == 1 && (cold > 0 && warm < usual/2 || len(lines) < 2) {
-			lines, warm = append(lines, line{c.t, c.t.size / 2}), warm+c.t.size/2
+	for _, g := range a.groups {
+		table := p.id*len(a.groups) + g.pos
+		want := p.draw(a, g)
+		if len(want) == 0 {
+			continue
 		}
+		n := len(out)
+		if !p.own {
+			out, p.laid[g.pos], p.levels = append(out, Clear{table}), nil, nil
+		}
+		for _, l := range p.laid[g.pos] {
+			if weight(want, l.t) == 0 {
+				out = append(out, SetLine{table, l.t.id, 0})
+				urgent = urgent || l.t.state != Ready
+			}
+		}
+		for _, l := range want {
+			w := weight(p.laid[g.pos], l.t)
+			if math.Abs(w-l.w) > moved*math.Max(w, l.w) {
+				out = append(out, SetLine{table, l.t.id, l.w})
+				urgent = urgent || w > l.w && l.t.warm(a) < 1
+			}
+		}
+		out = p.levelOrders(a, g, table, out)
+		if !p.own {
+			b := Bind{Proxy: p.id, Table: table}
+			if len(a.groups) > 1 {
+				b.Kinds = g.kinds
+			}
+			out = append(out, b)
+		}
+		lines += float64(len(out) - n)
 	}
-	most = math.Min(0.9, cold/math.Max(usual, 1e-9)*a.calm(p.zone))
-	if warm > 0 && cold > most*(cold+warm) {
-		for i, l := range lines {
-			if l.t.warm(a) < 1 {
-				lines[i].w *= most / (1 - most) * warm / cold
+	return out, lines, urgent
+}
+
+// levelOrders sheds the lowest value first: the dearer kinds take their use from the proxy's level,
+// and only the kind at the margin is held to what is left.
+func (p *proxy) levelOrders(a *Assigner, g *tableGroup, table int, out []Order) []Order {
+	if a.text("admission") == "off" || p.level == 0 && p.levels == nil {
+		return out
+	}
+	left := p.level
+	for _, k := range a.byValue {
+		r, want, is := p.rates[k.pos], noLevel, noLevel
+		if p.level > 0 && r > left {
+			want = left
+			if a.text("admission") == "ratio" {
+				want = left / r
+			}
+		}
+		left = math.Max(0, left-r)
+		if p.levels != nil {
+			is = p.levels[k.pos]
+		}
+		if slices.Contains(g.kinds, k.pos) && math.Abs(want-is) > moved*math.Max(want, is) {
+			resend := int(a.num("resend.usual", 0))
+			if resend > 1 || p.level > 0 {
+				resend = 0 // a further try is fuel to an overload, and not everything may run twice
 			}
+			out = append(out, SetLevel{Table: table, Kinds: []int{k.pos}, Amount: want, Resend: resend})
+		}
+	}
+	return out
+}
+
+// sent notes what the proxy will hold once the orders are applied.
+func (p *proxy) sent(a *Assigner, out []Order) {
+	for _, o := range out {
+		switch o := o.(type) {
+		case SetLine:
+			g := o.Table % len(a.groups)
+			p.laid[g] = setLine(p.laid[g], line{a.tasks[o.Task], o.Weight})
+		case SetLevel:
+			for p.levels == nil || len(p.levels) < len(a.kinds) {
+				p.levels = append(p.levels, noLevel)
+			}
+			p.levels[o.Kinds[0]] = o.Amount
+		case Bind:
+			p.own = true
 		}
 	}
-	return lines
 }
 
 // ---- the split
 
 type split struct {
+	inbox
 	total float64 // 0: unset
-	fails float64 // share of failed tries in the fleet
+	fails float64 // mean share of failed tries at the tasks heard of
 }
 
-func (s *split) active(a *Assigner) []*proxy {
-	var l []*proxy
+func (s *split) active(a *Assigner) (l []*proxy) {
 	for _, p := range a.crowd {
 		if p.share > 0 && a.now-p.heard <= unheard {
 			l = append(l, p)
@@ -728,92 +768,52 @@
 // admit gives a new proxy an equal share and scales the others down to match.
 func (s *split) admit(a *Assigner, p *proxy) {
 	l := s.active(a)
-	p.share = 1 / float64(len(l)+1)
 	for _, q := range l {
-		if q != p {
-			q.share *= 1 - p.share
-		}
+		q.share *= 1 - 1/float64(len(l)+1)
 	}
+	p.share = 1 / float64(len(l)+1)
 }
 
-func (s *split) take(a *Assigner, n note) {
-	heard, bad, well, fails, views := 0, 0, 0.0, 0.0, 0.0
-	for _, t := range a.fleet {
-		seen, ill := false, false
-		for _, v := range t.views {
-			if a.now-v.judged <= 2*period && t.state == Ready {
-				seen, ill = true, ill || v.bad()
-				fails, views = fails+v.fails, views+1
-				well += v.well
-			}
-		}
-		if seen {
-			heard++
-		}
-		if ill {
-			bad++
-		}
-	}
-	for _, p := range a.crowd {
-		if a.now-p.heard > unheard {
-			p.share = 0
-			if !p.joined {
-				p.rates = make([]float64, len(a.kinds))
-			}
-		} else if p.share == 0 && p.joined {
-			s.admit(a, p)
-		}
-	}
-	l := s.active(a)
+func (s *split) take(a *Assigner, _ note) {
 	for _, z := range a.zones {
 		z.look(a)
 	}
-	use, sum := 0.0, 0.0
 	for _, k := range a.kinds {
 		k.rate = 0
 	}
-	for _, p := range l {
+	use := 0.0
+	for _, p := range a.crowd {
+		if a.now-p.heard > unheard {
+			p.share, p.rates = 0, make([]float64, len(a.kinds))
+		} else if p.share == 0 && p.joined {
+			s.admit(a, p)
+		}
 		use += p.rate()
 		for _, k := range a.kinds {
 			k.rate += p.rates[k.pos]
 		}
 	}
-	s.fails = fails / math.Max(views, 1)
-	over := heard >= 2 && 2*bad > heard
-	switch {
-	case over:
-		if s.total == 0 {
-			a.logf("overload: %d of %d tasks answer badly; total %.1f/s of %.1f/s asked", bad, heard, well, use)
-		}
-		s.total = math.Max(well, 0.1)
-	case s.total > 0:
-		s.total *= step
-		if s.total > clearOver*use {
-			a.logf("levels cleared: total %.1f/s over use %.1f/s", s.total, use)
-			s.total = 0
-		}
-	}
-	if !over && s.total == 0 {
-		for _, t := range a.fleet {
-			for _, v := range t.views {
-				if v.bad() && a.now-v.judged <= period {
-					a.post(t, cutNote{v})
-				}
+	over := s.measure(a, use)
+	for _, t := range a.fleet {
+		for _, v := range t.views {
+			if !over && s.total == 0 && v.bad() && a.now-v.judged <= period {
+				a.post(t, cutNote{v})
 			}
 		}
 	}
 	// An under-user drops to its use, and with no total all are; what that frees goes in equal
 	// pieces to those that use all of theirs.
+	l := s.active(a)
 	var full []*proxy
-	freed := 0.0
+	freed, sum := 0.0, 0.0
 	for _, p := range l {
-		level, r := p.share*s.total, p.rate()
-		if s.total > 0 && r >= fullUse*level {
+		switch r := p.rate(); {
+		case s.total > 0 && r >= fullUse*p.share*s.total:
 			full = append(full, p)
-		} else if s.total > 0 {
+		case s.total > 0:
 			freed += p.share - r/s.total
 			p.share = r / s.total
-		} else if use > 0 {
+		case use > 0:
 			p.share = r / use
 		}
 		p.share = math.Max(p.share, 1e-6)
@@ -830,221 +830,101 @@
 	}
 }
 
+// measure sets, raises or clears the total by how the tasks heard of have answered; the tasks that no
+// proxy of ours uses are not counted, since one assigner may never hear of half the list.
+func (s *split) measure(a *Assigner, use float64) (over bool) {
+	heard, bad, well, fails, views := 0, 0, 0.0, 0.0, 0.0
+	for _, t := range a.fleet {
+		seen, ill := 0, 0
+		for _, v := range t.views {
+			if a.now-v.judged <= 2*period && t.state == Ready {
+				seen, views, well, fails = 1, views+1, well+v.well, fails+v.fails
+				if v.bad() {
+					ill = 1
+				}
+			}
+		}
+		heard, bad = heard+seen, bad+ill
+	}
+	s.fails = fails / math.Max(views, 1)
+	over = heard >= 2 && 2*bad > heard
+	switch {
+	case over:
+		if s.total == 0 {
+			a.logf("overload: %d of %d tasks answer badly; total %.1f/s of %.1f/s", bad, heard, well, use)
+		}
+		s.total = math.Max(well, 0.1)
+	case s.total > 0:
+		if s.total *= step; s.total > clearOver*use {
+			a.logf("levels cleared: total %.1f/s over use %.1f/s", s.total, use)
+			s.total = 0
+		}
+	}
+	return over
+}
+
 // ---- the desk
 
 // desk writes the orders. It knows of each message whether it was applied, and so keeps the channel
 // short on days when that is slower than stated.
 type desk struct {
-	limit, head float64
-	most        int
-	span        float64
-	mark        int
-	waiting     bool
+	inbox
+	limit, head, span float64
+	most, mark        int
+	waiting           bool
 }
 
 func (d *desk) take(a *Assigner, _ note) {
 	for _, s := range a.owned {
 		s.keep(a)
 	}
-	type job struct {
-		p      *proxy
-		urgent bool
-		orders []Order
-		lines  float64
-	}
-	var jobs []job
 	queued := 0.0
 	for _, p := range a.crowd {
 		for _, s := range p.open {
 			queued += s.lines
 		}
-		if p.joined && a.num("slices", 0) == 0 {
-			if o, lines, urgent := p.orders(a); len(o) > 0 {
-				jobs = append(jobs, job{p, urgent, o, lines})
-			}
-		}
 	}
-	sort.SliceStable(jobs, func(i, j int) bool { return jobs[i].urgent && !jobs[j].urgent })
 	d.waiting = false
-	wrote := false
-	for _, j := range jobs {
-		part := channelPart
-		if j.urgent {
-			part = urgentPart
-		}
-		cost := j.lines + d.head + 1
-		if queued+cost > part*d.limit || !d.mayWrite(a, j.p, j.urgent) {
-			d.waiting = true
-			continue
-		}
-		if !wrote {
-			d.mark = (d.mark + 1) % 65536
-			wrote = true
-		}
-		queued += cost
-		a.out = append(a.out, j.orders...)
-		j.p.sent(a, j.orders)
-		j.p.wrote = append(j.p.wrote, a.now)
-		j.p.open = append(j.p.open, sent{d.mark, cost})
-	}
-	if wrote {
-		a.out = append(a.out, Mark{d.mark, false})
-	}
-	if d.waiting {
-		a.ring(0.1)
-	}
-}
-
-func (d *desk) mayWrite(a *Assigner, p *proxy, urgent bool) bool {
-	if d.most == 0 {
-		return urgent || len(p.wrote) == 0 || a.now-p.wrote[len(p.wrote)-1] >= beat/2
-	}
-	for len(p.wrote) > 0 && a.now-p.wrote[0] > d.span {
-		p.wrote = p.wrote[1:]
-	}
-	if urgent {
-		return len(p.wrote) < d.most-1
-	}
-	return len(p.wrote) < d.most*2/3
-}
-
-// orders gives what a proxy's tables lack against what they should hold, the lines that this costs,
-// and whether a rule waits for it.
-func (p *proxy) orders(a *Assigner) (out []Order, lines float64, urgent bool) {
-	if !p.own && !p.needsOwn {
-		z := a.zone(p.zone)
-		p.needsOwn = p.level > 0 || z != nil && z.hot
-		for _, t := range a.fleet {
-			if p.mayHold(t) && t.part(a, p.zone) < 1 {
-				p.needsOwn = true
-				urgent = urgent || t.state != Ready
-			}
-		}
-		if !p.needsOwn {
-			return nil, 0, false
-		}
-	}
-	urgent = urgent || !p.own
-	for _, g := range a.groups {
-		table := p.id*len(a.groups) + g.pos
-		want := p.draw(a, g)
-		if len(want) == 0 {
-			continue
-		}
-		if !p.own {
-			out = append(out, Clear{table})
-		}
-		for _, l := range p.laid[g.pos] {
-			if p.own && !holds(want, l.t) {
-				out, lines = append(out, SetLine{table, l.t.id, 0}), lines+1
-				urgent = urgent || l.t.state != Ready
-			}
-		}
-		for _, l := range want {
-			w := 0.0
-			if p.own {
-				w = weight(p.laid[g.pos], l.t)
-			}
-			if math.Abs(w-l.w) > moved*math.Max(w, l.w) {
-				out, lines = append(out, SetLine{table, l.t.id, l.w}), lines+1
+	mark := (d.mark + 1) % 65536
+	for _, first := range []bool{true, false} {
+		for _, p := range a.crowd {
+			if !p.joined || a.num("slices", 0) > 0 {
+				continue
 			}
-		}
-		lv := p.levelOrders(a, g, table)
-		out, lines = append(out, lv...), lines+float64(len(lv))
-		if !p.own {
-			b := Bind{Proxy: p.id, Table: table}
-			if len(a.groups) > 1 {
-				b.Kinds = g.kinds
+			orders, lines, urgent := p.orders(a)
+			if len(orders) == 0 || urgent != first {
+				continue
 			}
-			out, lines = append(out, b), lines+1
-		}
-	}
-	return out, lines, urgent
-}
-
-// levelOrders sheds the lowest value first: the dearer kinds take their use from the proxy's level,
-// and only the kind at the margin is held to what is left.
-func (p *proxy) levelOrders(a *Assigner, g *tableGroup, table int) []Order {
-	mode := a.text("admission")
-	if mode == "off" || p.level == 0 && p.levels == nil {
-		return nil
-	}
-	if p.levels == nil {
-		p.levels = make([]float64, len(a.kinds))
-		for i := range p.levels {
-			p.levels[i] = noLevel
-		}
-	}
-	byValue := append([]*reqKind(nil), a.kinds...)
-	sort.SliceStable(byValue, func(i, j int) bool { return byValue[i].value > byValue[j].value })
-	want := make([]float64, len(a.kinds))
-	left := p.level
-	for _, k := range byValue {
-		r := p.rates[k.pos]
-		want[k.pos] = noLevel
-		if p.level > 0 && r > left {
-			want[k.pos] = left
-			if mode == "ratio" {
-				want[k.pos] = left / r
+			part, cost := channelPart, lines+d.head+1
+			if urgent {
+				part = urgentPart
 			}
-		}
-		left = math.Max(0, left-r)
-	}
-	var out []Order
-	for _, k := range g.kinds {
-		if math.Abs(want[k]-p.levels[k]) > moved*math.Max(want[k], p.levels[k]) {
-			resend := int(a.num("resend.usual", 0))
-			if resend > 1 || p.level > 0 {
-				resend = 0
+			if queued+cost > part*d.limit || !d.mayWrite(a, p, urgent) {
+				d.waiting = true
+				continue
 			}
-			out = append(out, SetLevel{Table: table, Kinds: []int{k}, Amount: want[k], Resend: resend})
+			d.mark, queued = mark, queued+cost
+			a.out = append(a.out, orders...)
+			p.sent(a, orders)
+			p.wrote, p.open = append(p.wrote, a.now), append(p.open, sent{mark, cost})
 		}
 	}
-	return out
-}
-
-// sent notes what the proxy will hold once the orders are applied.
-func (p *proxy) sent(a *Assigner, out []Order) {
-	for _, o := range out {
-		switch o := o.(type) {
-		case Clear:
-			p.laid[o.Table%len(a.groups)] = nil
-		case SetLine:
-			g := o.Table % len(a.groups)
-			p.laid[g] = setLine(p.laid[g], line{a.tasks[o.Task], o.Weight})
-		case SetLevel:
-			p.levels[o.Kinds[0]] = o.Amount
-		case Bind:
-			p.own = true
-		}
+	if d.mark == mark {
+		a.out = append(a.out, Mark{mark, false})
 	}
-}
-
-func holds(l []line, t *task) bool { return weight(l, t) > 0 }
-
-func weight(l []line, t *task) float64 {
-	for _, x := range l {
-		if x.t == t {
-			return x.w
-		}
+	if d.waiting {
+		a.ring(beat / 10)
 	}
-	return 0
 }
 
-func setLine(l []line, n line) []line {
-	for i, x := range l {
-		if x.t == n.t {
-			if n.w > 0 {
-				l[i].w = n.w
-				return l
-			}
-			return append(l[:i:i], l[i+1:]...)
-		}
-	}
-	if n.w > 0 {
-		l = append(l, n)
+// mayWrite keeps a third of the messages allowed to one proxy for what is urgent.
+func (d *desk) mayWrite(a *Assigner, p *proxy, urgent bool) bool {
+	p.wrote = slices.DeleteFunc(p.wrote, func(at float64) bool { return a.now-at > math.Max(d.span, beat) })
+	if d.most > 0 && len(p.wrote) >= d.most-1 {
+		return false
 	}
-	return l
+	n := len(p.wrote)
+	return urgent || n == 0 || a.now-p.wrote[n-1] >= beat/2 && (d.most == 0 || n < d.most*2/3)
 }
 
 // ---- slices
@@ -1056,22 +936,16 @@
 }
 
 func (s *slice) keep(a *Assigner) {
-	var ready []*task
-	for _, t := range a.fleet {
-		if t.state == Ready {
-			ready = append(ready, t)
-		}
-	}
-	for _, l := range s.lines {
-		if l.t.state == Ready || len(ready) == 0 {
+	one, _ := a.cfg["slices.oneOwner"].(bool)
+	for _, l := range slices.Clone(s.lines) {
+		i := slices.IndexFunc(a.fleet, func(t *task) bool { return t.state == Ready && weight(s.lines, t) == 0 })
+		if l.t.state == Ready || i < 0 {
 			continue
 		}
-		to := ready[a.rng.Intn(len(ready))]
-		a.out = append(a.out, SetLine{s.id, to.id, l.w})
-		if one, _ := a.cfg["slices.oneOwner"].(bool); !one {
+		a.out = append(a.out, SetLine{s.id, a.fleet[i].id, l.w})
+		if !one {
 			a.out = append(a.out, SetLine{s.id, l.t.id, 0})
 		}
-		s.lines = setLine(setLine(s.lines, line{l.t, 0}), line{to, l.w})
-		return
+		s.lines = setLine(setLine(s.lines, line{l.t, 0}), line{a.fleet[i], l.w})
 	}
 }
