--- /dev/null
+++ b/assign/assign_test.go
@@ -0,0 +1,232 @@
+package assign
+
+import (
+	"math"
+	"math/rand"
+	"reflect"
+	"testing"
+	"testing/quick"
+)
+
+// roughDay plays joins, leaves, restarts, drains, stale lists, lost reports and overload in any mix.
+func roughDay(seed int64) *world {
+	w := newWorld(seed)
+	w.open()
+	busy := 0.5
+	for i := 0; i < 400 && w.bad == ""; i++ {
+		var ev []Event
+		t, p := w.tasks[w.rng.Intn(len(w.tasks))], w.prox[w.rng.Intn(len(w.prox))]
+		switch x := w.rng.Float64(); {
+		case x < 0.15:
+			if !p.joined {
+				w.join(p)
+			}
+		case x < 0.18 && p.joined:
+			p.joined = false
+			var keep []message
+			for _, m := range w.fly {
+				if m.to != p {
+					keep = append(keep, m)
+				}
+			}
+			w.fly = keep
+			ev = append(ev, Left{p.id})
+		case x < 0.23:
+			if left := w.ready(t.Zone); t.State == Ready && left > 2 {
+				t.State = []State{Draining, Gone}[w.rng.Intn(2)]
+				ev = append(ev, Listed{Entries: []Entry{t.Entry}})
+			}
+		case x < 0.27:
+			t.State, t.ill, t.Started = Ready, false, w.now-w.rng.Float64()/2
+			ev = append(ev, Listed{Entries: []Entry{t.Entry}})
+		case x < 0.29:
+			t.ill = !t.ill
+		case x < 0.295:
+			w.open()
+		case x < 0.31:
+			busy = 0.3 + 1.5*w.rng.Float64()
+		case x < 0.5:
+			ev = append(ev, w.reports(busy)...)
+		}
+		w.step(0.02+0.2*w.rng.Float64(), ev...)
+	}
+	return w
+}
+
+func (w *world) ready(zone string) (n int) {
+	for _, t := range w.tasks {
+		if t.State == Ready && t.Zone == zone {
+			n++
+		}
+	}
+	return n
+}
+
+func check(t *testing.T, f any) {
+	t.Helper()
+	if err := quick.Check(f, &quick.Config{MaxCount: 80, Rand: rand.New(rand.NewSource(7))}); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestRulesOnRoughDays(t *testing.T) {
+	check(t, func(seed int64) bool {
+		w := roughDay(seed)
+		if w.bad != "" {
+			t.Log(seed, w.bad)
+		}
+		return w.bad == ""
+	})
+}
+
+func TestEqualInputGivesEqualOrders(t *testing.T) {
+	check(t, func(seed int64) bool { return reflect.DeepEqual(roughDay(seed).log, roughDay(seed).log) })
+}
+
+// calm brings up a world in which all proxies have joined fresh.
+func calm(t *testing.T) *world {
+	w := newWorld(1)
+	w.open()
+	for _, p := range w.prox {
+		w.join(p)
+		w.step(0.05)
+	}
+	w.pass(10, 0.4)
+	if w.bad != "" {
+		t.Fatal(w.bad)
+	}
+	return w
+}
+
+func (w *world) pass(seconds int, busy float64) {
+	for i := 0; i < seconds; i++ {
+		w.step(0.25, w.reports(busy)...)
+		w.step(0.25)
+		w.step(0.5)
+	}
+}
+
+func (w *world) proxy(id int) *proxy { return w.a.proxy(id) }
+
+func TestStandingTablesStayWhileAllIsWell(t *testing.T) {
+	w := calm(t)
+	for _, p := range w.prox {
+		if p.zone != "z" && w.proxy(p.id).own {
+			t.Errorf("proxy %d left its standing table", p.id)
+		}
+	}
+}
+
+// A kind that is closed in a zone has its standing table elsewhere; a drain there must reach it.
+func TestDrainReachesFarStandingTables(t *testing.T) {
+	w := calm(t)
+	t0 := w.tasks[0] // in x; proxies of z send "sign" to x or y
+	t0.State = Draining
+	w.step(0.01, Listed{Entries: []Entry{t0.Entry}})
+	for i := 0; i < 60; i++ {
+		w.step(0.05)
+	}
+	if w.bad != "" {
+		t.Error(w.bad)
+	}
+}
+
+func TestWideOverloadSplitsATotal(t *testing.T) {
+	w := calm(t)
+	w.pass(12, 2.5)
+	if w.a.split.total == 0 {
+		t.Fatal("no total under overload")
+	}
+	sum := 0.0
+	for _, p := range w.a.split.active(w.a) {
+		sum += p.share
+		if math.Abs(p.level-p.share*w.a.split.total) > 1e-9 {
+			t.Errorf("level %v is not share %v of the total", p.level, p.share)
+		}
+	}
+	if math.Abs(sum-1) > 1e-9 {
+		t.Errorf("shares sum to %v", sum)
+	}
+	p := w.proxy(0)
+	if p.levels == nil || p.levels[0] >= p.levels[2] && p.levels[2] < noLevel {
+		t.Errorf("levels %v: the lowest value is not shed first", p.levels)
+	}
+	w.pass(60, 0.3)
+	if w.a.split.total != 0 || w.proxy(0).levels[0] != noLevel {
+		t.Error("levels not cleared after the overload")
+	}
+}
+
+func TestSurplusMovesInEqualPieces(t *testing.T) {
+	w := calm(t)
+	s := w.a.split
+	l := s.active(w.a)
+	s.total = 80
+	for i, p := range l {
+		p.share, p.rates = 1/float64(len(l)), []float64{4, 0, 0}
+		if i < 2 {
+			p.rates[0] = 30
+		}
+	}
+	s.take(w.a, beatNote{})
+	if math.Abs(l[0].share-l[1].share) > 1e-9 || l[0].share < 0.3 || l[5].share > 0.08 {
+		t.Errorf("shares %v, %v and %v", l[0].share, l[1].share, l[5].share)
+	}
+}
+
+// A task that fails and answers late is overloaded: shutting it would throw its load on the next one.
+func TestOverloadedTaskIsCutNotShut(t *testing.T) {
+	w := calm(t)
+	for i := 0; i < 6; i++ {
+		w.step(1.01, append(w.reports(0.4), Met{Zone: "x", Task: "t0", Span: 1, Mean: 2, Tries: 40, Failed: 25})...)
+	}
+	v := w.a.tasks["t0"].view(w.a, "x")
+	if v.ease >= 1 || v.out > w.now {
+		t.Errorf("ease %v, out for %v", v.ease, v.out-w.now)
+	}
+}
+
+// Full tasks refuse every try; where all do, silence proves nothing.
+func TestSilenceIsJudgedAgainstTheFleet(t *testing.T) {
+	w := calm(t)
+	w.a.split.fails = 0.9
+	v := w.a.tasks["t0"].view(w.a, "x")
+	v.tries, v.failed = 6, 6
+	w.a.tasks["t0"].judge(w.a, v)
+	if v.out > w.now {
+		t.Error("shut on little evidence")
+	}
+	w.a.split.fails = 0.1
+	v.tries, v.failed = 6, 6
+	w.a.tasks["t0"].judge(w.a, v)
+	if v.out <= w.now {
+		t.Error("a silent task stays in")
+	}
+}
+
+// However ill the fleet looks, a table keeps tasks to pick: the judging may be what is at fault.
+func TestTablesAreNeverBare(t *testing.T) {
+	w := calm(t)
+	for _, k := range w.a.fleet {
+		k.view(w.a, "x").out = w.now + 100
+	}
+	if l := w.proxy(0).draw(w.a, w.a.groups[1]); len(l) < 2 {
+		t.Errorf("lines %v", l)
+	}
+}
+
+func TestOddSettingsGiveLegalOrders(t *testing.T) {
+	for _, odd := range []Settings{{}, {"slices": 40.0}, {"slices": 40.0, "slices.oneOwner": true},
+		{"admission": "ratio"}, {"admission": "off"}, {"list.mode": "on_request", "what.is.this": []any{1, "x"}}} {
+		a := New(1, odd)
+		a.Handle(1, []Event{Listed{Whole: true, Entries: []Entry{{Task: "a", Zone: "q"}, {Task: "b", Size: 2}}},
+			Joined{Proxy: 3}, Given{3, true}, Held{3, "a", 1}, Met{Task: "none"}, Used{Proxy: 9}, Left{8},
+			Heard{1, nil}, Probed{}, SliceUsed{}, Applied{Proxy: 3, Mark: 9}})
+		out := a.Handle(2, []Event{Listed{Failed: true}, Listed{Entries: []Entry{{Task: "a", State: Gone}}}})
+		for _, o := range out {
+			if l, ok := o.(SetLine); ok && odd["slices"] != nil && l.Weight > 0 && l.Task != "b" {
+				t.Errorf("%v: %+v", odd, l)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/benchwire/wire_test.go
@@ -0,0 +1,124 @@
+package benchwire
+
+import (
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+
+	"madderhollow/assign"
+)
+
+func decode(t *testing.T, line string) Line {
+	t.Helper()
+	l, err := NewDecoder().Decode([]byte(line))
+	if err != nil {
+		t.Fatalf("%s: %v", line, err)
+	}
+	return l
+}
+
+func TestDecodeEvents(t *testing.T) {
+	for line, want := range map[string]any{
+		`["tally",3,"north",48.25,1,1000.0,"a:1",14,[0.62,140],"more"]`: assign.Met{Zone: "north", Mean: 0.04825,
+			Failed: 1, Span: 1, Task: "a:1", Tries: 14, Load: []float64{0.62, 140}},
+		`["update",3,41,"D",[["north",7,"a:1",1.5,"cordoned",6100.0,"m"]]]`: assign.Listed{Version: 41,
+			Entries: []assign.Entry{{Zone: "north", Bay: 7, Task: "a:1", Size: 1.5, State: assign.Draining,
+				Started: 6.1, Model: "m"}}},
+		`["update",3,41,"C",[["n",0,"a:1",1,"healthy",null,null]]]`: assign.Listed{Version: 41, Whole: true,
+			Entries: []assign.Entry{{Zone: "n", Task: "a:1", Size: 1}}},
+		`["update",3,41,"X",null]`:               assign.Listed{Version: 41, Failed: true},
+		`["connected",3,41,"north",6.5,true]`:    assign.Joined{Proxy: 41, Zone: "north", Rate: 6.5, Fresh: true},
+		`["usage",3,2000.0,41,9,2,"read"]`:       assign.Used{Proxy: 41, Kind: "read", Span: 2, Reqs: 9, Failed: 2},
+		`["heat",3,2,"read",23,1000.0,117]`:      assign.SliceUsed{Slice: 117, Kind: "read", Span: 1, Reqs: 23, Failed: 2},
+		`["receipt",3,412.5,41,12]`:              assign.Applied{Proxy: 41, Mark: 12, Took: 0.4125},
+		`["given",3,true,117]`:                   assign.Given{Slice: 117, Ours: true},
+		`["held",3,117,"a:1",1]`:                 assign.Held{Slice: 117, Task: "a:1", Weight: 1},
+		`["statusBack",3,"a:1","served",2,null]`: assign.Probed{Task: "a:1", Code: "served", Took: 0.002},
+		`["datagram",3,2,"aGkgNw=="]`:            assign.Heard{From: 2, Data: []byte("hi 7")},
+		`["ring",3,77]`:                          assign.Rang{Name: 77},
+		`["left",3,41]`:                          assign.Left{Proxy: 41},
+		`["halt",3]`:                             Stop{},
+		`["mark",8412.25,12]`:                    Tick{8.41225, json.Number("12")},
+		`["weather",3,"rain"]`:                   nil,
+	} {
+		if got := decode(t, line).Event; !reflect.DeepEqual(got, want) {
+			t.Errorf("%s\n got %#v\nwant %#v", line, got, want)
+		}
+	}
+}
+
+func TestDecodeStart(t *testing.T) {
+	l := decode(t, `["openInstance",4,9007199254740993,{"az":"n","new":{"key":[1,"x"]},"roundMs":2,
+		"classes":[{"name":"r","effect":"keyed","group":"cell","worth":2,"onTimeMs":1500,"deadlineMs":3000,
+		"onlyZones":["n"]},{"effect":"odd"}],"familyInfo":{"bareMs":6000.0,"homeOnly":[false,true]},
+		"report":{"columns":["load_share","mean_ms"]}}]`)
+	st := l.Event.(Start)
+	if st.Seed != 9007199254740993 || l.Instance != 4 {
+		t.Errorf("seed %d, instance %d", st.Seed, l.Instance)
+	}
+	for name, want := range map[string]any{"zone": "n", "bare.limit": 6.0, "kind.ownZone": []bool{false, true},
+		"kind.repeat": []string{"uniqued", "non-replayable"}, "kind.group": []string{"bay", ""},
+		"kind.target": []float64{1.5, 0}, "kind.zones": [][]string{{"n"}, nil},
+		"load.columns": []string{"busy", "serviceTime"}} {
+		if got := st.Settings[name]; !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: got %#v, want %#v", name, got, want)
+		}
+	}
+}
+
+// A bad line is named by message and field, and never becomes an event.
+func TestBadLinesAreNamed(t *testing.T) {
+	for line, want := range map[string]string{
+		`{"a":1}`: "array", `[`: "array", `[]`: "empty", `[7]`: "name",
+		`["left"]`: "left: field 0", `["left",3,"x"]`: "left: field 1", `["left",3,70000]`: "left: field 1",
+		`["left",3,-1]`: "left: field 1", `["ring",3,1.5]`: "ring: field 1",
+		`["tally",3,"n",1,0,1,"a",-4,null]`: "tally: field 6", `["tally",3,"n",1,0,1,"a",4,["x"]]`: "tally: field 7",
+		`["connected",3,41,"n",6.5,"yes"]`: "connected: field 4", `["update",3,1,"Q",[]]`: "update: field 2",
+		`["update",3,1,"D",[["n",0,"a",1,"odd",null,""]]]`: "entry 0: field 4",
+		`["datagram",3,2,"*"]`:                             "datagram: field 2", `["openInstance",3,1,[]]`: "field 2",
+		`["mark","x",1]`: "mark: field 0",
+	} {
+		l, err := NewDecoder().Decode([]byte(line))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: error %v, want one with %q (event %#v)", line, err, want, l.Event)
+		}
+	}
+}
+
+func TestEncode(t *testing.T) {
+	for want, o := range map[string]assign.Order{
+		`["setLine",3,117,0.75,"a:1"]`:  assign.SetLine{Table: 117, Task: "a:1", Weight: 0.75},
+		`["handTable",3,41,117,6]`:      assign.Bind{Proxy: 41, Table: 117, Kinds: []int{1, 2}},
+		`["gateClass",3,1,2.5,65535,0]`: assign.SetLevel{Table: assign.EveryProxy, Amount: 2.5, Resend: 1},
+		`["withdraw",3,true,"a:1"]`:     assign.Withdraw{Task: "a:1", Out: true},
+		`["wipe",3,9]`:                  assign.Clear{Table: 9},
+		`["nonce",3,12,false]`:          assign.Mark{Mark: 12},
+		`["after",3,500,77]`:            assign.After{In: 0.5, Name: 77},
+		`["journalLine",3,"two known"]`: assign.Log{Text: "two known"},
+		`["inspect",3,"a:1"]`:           assign.Probe{Task: "a:1"},
+		`["publish",3,-1,"aGkgNw=="]`:   assign.Tell{To: -1, Data: []byte("hi 7")},
+		`["track",3,true]`:              assign.Follow{On: true},
+		`["getList",3]`:                 assign.FetchList{},
+	} {
+		if got, err := Encode(3, o); err != nil || string(got) != want {
+			t.Errorf("got %s (%v), want %s", got, err, want)
+		}
+	}
+	if _, err := Encode(3, "an odd thing"); err == nil {
+		t.Error("an unknown order was encoded")
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, s := range []string{`["mark",1,2]`, `["left",3,41]`, `["update",3,41,"C",[["n",0,"a",1,"healthy",null]]]`,
+		`["openInstance",0,1,{"classes":[{}],"report":{"columns":[]}}]`, `["tally",3,"n",1,0,1,"a",4,[1]]`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, line []byte) {
+		l, err := NewDecoder().Decode(line)
+		if m, ok := l.Event.(assign.Met); err == nil && ok && (m.Tries < 0 || m.Failed < 0 || m.Span < 0) {
+			t.Errorf("%s became %+v", line, m)
+		}
+	})
+}
