--- a/assign/assign.go
+++ b/assign/assign.go
@@ -23,7 +23,7 @@
 
 // The tuned values. Those of the design page keep its words; each says what it guards against.
 const (
-	period      = 2.0  // of the split (design page)
+	period      = 1.0  // of the split (design page)
 	fullUse     = 0.95 // of a level: above, a proxy takes surplus (design page)
 	unheard     = 10.0 // a silent proxy then leaves the split (design page)
 	step        = 1.1  // of the total, each period without overload (design page)
@@ -42,6 +42,7 @@
 	hotTo     = 0.5  // and below which they stop; the gap keeps tables from flapping
 	easeCut   = 0.8  // of a line's weight that is left when its task answers badly
 	easeStep  = 0.1  // regained a period, as the total does
+	cutEvery  = 3.0  // s between cuts: reports trail by more than a beat, and would tell of the old weight
 	leastEase = 0.1  // of the listed weight, for a task on trial: some tries, little harm
 	firstHold = 4.0  // s that a failing task stays out; doubled by each failed trial, against flapping
 	longHold  = 16.0 // s at most, so that a task that is well again is missed no longer
@@ -470,7 +471,7 @@
 	if v.fails >= failing && !v.late && v.fails > 2*a.split.fails {
 		t.shut(a, v, "failing")
 	} else if a.now >= v.next {
-		v.ease, v.next = math.Max(leastEase, v.ease*easeCut), a.now+1.5*period // reports trail by one
+		v.ease, v.next = math.Max(leastEase, v.ease*easeCut), a.now+cutEvery
 	}
 }
 
