Reckon a hot zone's demand with the proxies that others hear

Cause: bilbao has no assigner of its own, so each assigner heard half of its proxies and took the zone's demand for half. Told from sick tasks by their good answers, late and full at once. Now a zone's unheard proxies count like those heard. Also holds after a restart, while proxies are still joining. May spill too much where zones differ in their number of proxies.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -326,9 +326,9 @@
 }
 
 // brings gives what a zone's proxies bring, what they usually bring, and their part of all reqs as far
-// as this assigner can know: the proxies of others are taken to bring as much each as its own.
+// as this assigner can know: proxies of others are taken to bring as much each as its own do.
 func (z *zone) brings(a *Assigner) (now, usual, part float64) {
-	all, n := 0.0, 0.0
+	all, n, in := 0.0, 0.0, 0.0
 	for _, p := range a.crowd {
 		if !p.joined {
 			continue
@@ -338,12 +338,13 @@
 			r = p.typical
 		}
 		if p.zone == z.name {
-			now, usual = now+r, usual+p.typical
+			now, usual, in = now+r, usual+p.typical, in+1
 		}
 		all, n = all+r, n+1
 	}
-	if all > 0 {
-		part = now / all * math.Min(1, n/a.num("proxies", n))
+	if all > 0 && in > 0 {
+		all = all / n * math.Max(n, a.num("proxies", n))
+		part = now / all * math.Max(1, a.num("proxies", n)/float64(len(a.zones))/in)
 	}
 	return now, usual, part
 }
