See late answers at four tenths of the response target

Cause: by the time the mean answer takes six tenths of the target, a third of the answers are late, and levels and line cuts trail by seconds more.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -37,7 +37,7 @@
 	fewest    = 4.0  // tries that make a judgement; fewer are chance
 	chance    = 0.05 // that a task failing like all others shows no good answer at all
 	failing   = 0.4  // share of failed tries that is no longer a busy task's refusals
-	lateShare = 0.6  // of the response target: a mean above it leaves no room for the slow answers
+	lateShare = 0.4  // of the response target: a mean above it leaves no room for the slow answers
 	hotFrom   = 0.75 // busy share of a zone's tasks above which its tables count what its proxies bring
 	hotTo     = 0.5  // and below which they stop; the gap keeps tables from flapping
 	easeCut   = 0.8  // of a line's weight that is left when its task answers badly
