--- a/assign/assign.go
+++ b/assign/assign.go
@@ -679,7 +679,7 @@
 		for _, l := range p.laid[g.pos] {
 			if weight(want, l.t) == 0 {
 				out = append(out, SetLine{table, l.t.id, 0})
-				urgent = urgent || l.t.state != Ready
+				urgent = urgent || l.t.state != Ready || l.t.warm(a) < 1
 			}
 		}
 		for _, l := range want {
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -64,7 +64,7 @@
 
 func check(t *testing.T, f any) {
 	t.Helper()
-	if err := quick.Check(f, &quick.Config{MaxCount: 80, Rand: rand.New(rand.NewSource(7))}); err != nil {
+	if err := quick.Check(f, &quick.Config{MaxCount: 100, Rand: rand.New(rand.NewSource(7))}); err != nil {
 		t.Error(err)
 	}
 }
