Give a zone its part of ten lines where its tasks cannot carry what comes

Cause: its eight tasks filled its ten-line tables, so nothing could spill. Now, where the lines that the demand asks for do not all fit, the zone's tasks get their part of the ten. Also holds for zones with more than ten tasks. May cost crossings when demand is misjudged.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -594,7 +594,7 @@
 		key  float64
 	}
 	var cands []cand
-	have, most := 0.0, 0.0
+	have, most, near := 0.0, 0.0, 0.0
 	for _, t := range a.fleet {
 		if t.state != Ready || !g.open(t, p.zone) {
 			continue
@@ -612,6 +612,8 @@
 		}
 		if c.w <= 0 {
 			c.rank, c.w = 2, t.size/2
+		} else if c.rank == 0 {
+			near += c.w
 		}
 		cands = append(cands, c)
 	}
@@ -624,16 +626,23 @@
 	home := a.zone(p.zone)
 	now, usualRate, part := home.brings(a)
 	usual, want := most/math.Max(1, float64(len(a.zones))), math.Inf(1)
-	if len(cands) > 0 && cands[0].rank == 0 {
+	if near > 0 {
 		usual, want = home.most, home.most*math.Min(1, have/most)
 		if home.hot {
 			want = math.Max(want, have*part)
 		}
 	}
+	room := float64(tableSize) // lines for the zone: but its part of them where it cannot carry all
+	if want > near && want*float64(len(cands)) > room*have && near > 0 {
+		room = math.Ceil(room * near / want)
+	}
 	var lines []line
 	sum, cold := 0.0, 0.0
 	for _, c := range cands {
-		ok := len(lines) < tableSize && (c.rank == 0 || want-sum > c.w/2)
+		ok := len(lines) < tableSize && want-sum > c.w/2
+		if c.rank == 0 {
+			ok = float64(len(lines)) < room
+		}
 		if c.rank == 2 { // a doubtful task is better than none, and than a pushed-over cold one
 			ok = c.t.warm(a) == 1 && (len(lines) < 2 || cold > 0 && sum-cold < usual/2)
 		}
