--- a/assign/assign.go
+++ b/assign/assign.go
@@ -807,7 +807,7 @@
 	over := s.measure(a, use)
 	for _, t := range a.fleet {
 		for _, v := range t.views {
-			if !over && s.total == 0 && v.bad() && a.now-v.judged <= period {
+			if !over && v.bad() && a.now-v.judged <= period {
 				a.post(t, cutNote{v})
 			}
 		}
