Level proxies whose tables hold cold tasks; count a returning zone as a whole one

Now a zone counts at least the mean of all, a proxy is taken to bring its typical rate until heard, and while its tables hold cold tasks its kinds are held to half the fall multiple of what they bring: a surge cannot push over before it is heard of. Also holds for repeats after an outage; sheds when front traffic really moves to fewer proxies.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -76,7 +76,7 @@
 	value, target float64
 	zones         []string
 	ownZone       bool
-	rate          float64 // of all proxies heard
+	rate, part    float64 // of all proxies heard; part of all reqs
 }
 
 // shut tells whether the kind is closed in a zone.
@@ -138,7 +138,7 @@
 	for i, n := range names {
 		k := &reqKind{pos: i, name: n, value: at[float64](cfg, "kind.value", i),
 			target: at[float64](cfg, "kind.target", i), zones: at[[]string](cfg, "kind.zones", i),
-			ownZone: at[bool](cfg, "kind.ownZone", i)}
+			ownZone: at[bool](cfg, "kind.ownZone", i), part: 1 / float64(len(names))}
 		a.kinds = append(a.kinds, k)
 		j := slices.IndexFunc(a.groups, func(g *tableGroup) bool {
 			return g.like.ownZone == k.ownZone && slices.Equal(g.like.zones, k.zones)
@@ -334,9 +334,6 @@
 			continue
 		}
 		r := p.rate()
-		if r == 0 {
-			r = p.typical
-		}
 		if p.zone == z.name {
 			now, usual, in = now+r, usual+p.typical, in+1
 		}
@@ -554,6 +551,11 @@
 			}
 			p.near = p.near && in >= 4
 		}
+		if p.rate() == 0 { // until it is heard, it brings what it typically does
+			for i := range p.rates {
+				p.rates[i] = p.typical / float64(len(p.rates))
+			}
+		}
 		if p.share == 0 {
 			a.split.admit(a, p)
 		}
@@ -627,7 +629,7 @@
 	now, usualRate, part := home.brings(a)
 	usual, want := most/math.Max(1, float64(len(a.zones))), math.Inf(1)
 	if near > 0 {
-		usual, want = home.most, home.most*math.Min(1, have/most)
+		usual, want = math.Max(usual, home.most), home.most*math.Min(1, have/most)
 		if home.hot {
 			want = math.Max(want, have*part)
 		}
@@ -698,7 +700,7 @@
 				urgent = urgent || w > l.w && l.t.warm(a) < 1
 			}
 		}
-		out = p.levelOrders(a, g, table, out)
+		out = p.levelOrders(a, g, table, want, out)
 		if !p.own {
 			b := Bind{Proxy: p.id, Table: table}
 			if len(a.groups) > 1 {
@@ -713,18 +715,22 @@
 
 // levelOrders sheds the lowest value first: the dearer kinds take their use from the proxy's level,
 // and only the kind at the margin is held to what is left.
-func (p *proxy) levelOrders(a *Assigner, g *tableGroup, table int, out []Order) []Order {
-	if a.text("admission") == "off" || p.level == 0 && p.levels == nil {
+func (p *proxy) levelOrders(a *Assigner, g *tableGroup, table int, lines []line, out []Order) []Order {
+	cold := slices.ContainsFunc(lines, func(l line) bool { return l.t.warm(a) < 1 })
+	if a.text("admission") == "off" || p.level == 0 && p.levels == nil && !cold {
 		return out
 	}
 	left := p.level
 	for _, k := range a.byValue {
 		r, want, is := p.rates[k.pos], noLevel, noLevel
+		if cold { // a surge is heard of too late for a cold task, which a few seconds of it push over
+			want = a.num("fall.multiple", 2) / 2 * math.Max(r, p.typical*k.part)
+		}
 		if p.level > 0 && r > left {
-			want = left
-			if a.text("admission") == "ratio" {
-				want = left / r
-			}
+			want = math.Min(want, left)
+		}
+		if want < noLevel && a.text("admission") == "ratio" {
+			want = math.Min(1, want/math.Max(r, 1e-9))
 		}
 		left = math.Max(0, left-r)
 		if p.levels != nil {
@@ -804,6 +810,11 @@
 			k.rate += p.rates[k.pos]
 		}
 	}
+	for _, k := range a.kinds {
+		if use > 0 {
+			k.part = k.rate / use
+		}
+	}
 	over := s.measure(a, use)
 	for _, t := range a.fleet {
 		for _, v := range t.views {
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -230,3 +230,32 @@
 		}
 	}
 }
+
+// After a restart a lost zone comes back task by task: the first must not pass for the whole zone.
+func TestReturningZoneIsNotTakenForItsFirstTask(t *testing.T) {
+	w := newWorld(1)
+	for _, k := range w.tasks {
+		if k.Zone == "x" {
+			k.State = Gone
+		}
+	}
+	w.open()
+	p := w.prox[0]
+	w.join(p)
+	back := w.tasks[0]
+	back.State, back.Started = Ready, w.now
+	w.step(0.1, Listed{Entries: []Entry{back.Entry}})
+	for i := 0; i < 20; i++ {
+		w.step(0.1)
+	}
+	held, sum := w.holds(p, 0), 0.0
+	for _, x := range held {
+		sum += x
+	}
+	if part := held[back.Task] / sum; part == 0 || part > 0.1 {
+		t.Errorf("the first task back takes %.2f of the table", part)
+	}
+	if l := w.proxy(0).levels; l == nil || l[0] > 1.25*10 {
+		t.Errorf("levels %v: a surge could push it over before it is heard of", l)
+	}
+}
