--- a/assign/assign.go
+++ b/assign/assign.go
@@ -390,6 +390,9 @@
 	if t.started == 0 || age >= long {
 		return 1
 	}
+	if age < a.num("fall.time", 0) { // what came before anyone knew has spent this window's budget
+		return 0
+	}
 	return from + (1-from)*math.Max(age, 0)/long
 }
 
@@ -550,6 +553,7 @@
 				}
 			}
 			p.near = p.near && in >= 4
+			p.history = p.history || in < 3 && !g.like.shut(p.zone) // a zone going or coming: who knows
 		}
 		if p.rate() == 0 { // until it is heard, it brings what it typically does
 			for i := range p.rates {
@@ -629,7 +633,10 @@
 	now, usualRate, part := home.brings(a)
 	usual, want := most/math.Max(1, float64(len(a.zones))), math.Inf(1)
 	if near > 0 {
-		usual, want = math.Max(usual, home.most), home.most*math.Min(1, have/most)
+		if home.most > usual/2 { // else the zone is just coming back, and this life saw it never whole
+			usual = home.most
+		}
+		want = usual * math.Min(1, have/most)
 		if home.hot {
 			want = math.Max(want, have*part)
 		}
@@ -738,8 +745,8 @@
 		}
 		if slices.Contains(g.kinds, k.pos) && math.Abs(want-is) > moved*math.Max(want, is) {
 			resend := int(a.num("resend.usual", 0))
-			if resend > 1 || p.level > 0 {
-				resend = 0 // a further try is fuel to an overload, and not everything may run twice
+			if resend > 1 || p.level > 0 || cold {
+				resend = 0 // fuel to an overload, a burst on a cold task; and not all may run twice
 			}
 			out = append(out, SetLevel{Table: table, Kinds: []int{k.pos}, Amount: want, Resend: resend})
 		}
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -245,7 +245,7 @@
 	back := w.tasks[0]
 	back.State, back.Started = Ready, w.now
 	w.step(0.1, Listed{Entries: []Entry{back.Entry}})
-	for i := 0; i < 20; i++ {
+	for i := 0; i < 45; i++ {
 		w.step(0.1)
 	}
 	held, sum := w.holds(p, 0), 0.0
@@ -255,7 +255,7 @@
 	if part := held[back.Task] / sum; part == 0 || part > 0.1 {
 		t.Errorf("the first task back takes %.2f of the table", part)
 	}
-	if l := w.proxy(0).levels; l == nil || l[0] > 1.25*10 {
+	if l := w.proxy(0).levels; l == nil || l[0] > 1.25*10/3+0.1 {
 		t.Errorf("levels %v: a surge could push it over before it is heard of", l)
 	}
 }
