--- a/assign/assign.go
+++ b/assign/assign.go
@@ -390,8 +390,8 @@
 	if t.started == 0 || age >= long {
 		return 1
 	}
-	if age < a.num("fall.time", 0) { // what came before anyone knew has spent this window's budget
-		return 0
+	if age < a.num("fall.time", 0) || a.text("admission") == "off" {
+		return 0 // what came before anyone knew has spent the first window; and no level, no easing in
 	}
 	return from + (1-from)*math.Max(age, 0)/long
 }
@@ -724,7 +724,7 @@
 // and only the kind at the margin is held to what is left.
 func (p *proxy) levelOrders(a *Assigner, g *tableGroup, table int, lines []line, out []Order) []Order {
 	cold := slices.ContainsFunc(lines, func(l line) bool { return l.t.warm(a) < 1 })
-	if a.text("admission") == "off" || p.level == 0 && p.levels == nil && !cold {
+	if p.level == 0 && p.levels == nil && !cold {
 		return out
 	}
 	left := p.level
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -259,3 +259,14 @@
 		t.Errorf("levels %v: a surge could push it over before it is heard of", l)
 	}
 }
+
+// Where levels are ignored nothing holds a surge back from a cold task: it stays out until warm.
+func TestColdTasksStayOutWhereLevelsAreIgnored(t *testing.T) {
+	for mode, want := range map[string]bool{"rps": true, "ratio": true, "off": false} {
+		a := New(1, Settings{"admission": mode, "cold.share": 0.2, "cold.time": 10.0, "fall.time": 3.0})
+		a.Handle(5, []Event{Listed{Whole: true, Entries: []Entry{{Task: "a", Zone: "x", Started: 1}}}})
+		if got := a.tasks["a"].part(a, "x") > 0; got != want {
+			t.Errorf("%s: eased in: %v", mode, got)
+		}
+	}
+}
