--- a/assign/assign.go
+++ b/assign/assign.go
@@ -35,7 +35,6 @@
 
 	beat      = 1.0  // judging tasks: half a period, so that a dead task is not met for a whole one
 	fewest    = 4.0  // tries that make a judgement; fewer are chance
-	chance    = 0.05 // that a task failing like all others shows no good answer at all
 	failing   = 0.4  // share of failed tries that is no longer a busy task's refusals
 	lateShare = 0.4  // of the response target: a mean above it leaves no room for the slow answers
 	hotFrom   = 0.75 // busy share of a zone's tasks above which its tables count what its proxies bring
@@ -44,8 +43,6 @@
 	easeStep  = 0.1  // regained a period, as the total does
 	cutEvery  = 3.0  // s between cuts: reports trail by more than a beat, and would tell of the old weight
 	leastEase = 0.1  // of the listed weight, for a task on trial: some tries, little harm
-	firstHold = 4.0  // s that a failing task stays out; doubled by each failed trial, against flapping
-	longHold  = 16.0 // s at most, so that a task that is well again is missed no longer
 )
 
 const noLevel = 1e9
@@ -325,25 +322,23 @@
 	z.hot = size > 0 && (busy > hotFrom*size || z.hot && busy > hotTo*size)
 }
 
-// brings gives what a zone's proxies bring, what they usually bring, and their part of all reqs as far
-// as this assigner can know: proxies of others are taken to bring as much each as its own do.
-func (z *zone) brings(a *Assigner) (now, usual, part float64) {
-	all, n, in := 0.0, 0.0, 0.0
+// brings gives the part of all reqs that a zone's proxies bring, as far as this assigner can know:
+// proxies of others are taken to bring as much each as its own do.
+func (z *zone) brings(a *Assigner) float64 {
+	own, all, n, in := 0.0, 0.0, 0.0, 0.0
 	for _, p := range a.crowd {
-		if !p.joined {
-			continue
-		}
-		r := p.rate()
-		if p.zone == z.name {
-			now, usual, in = now+r, usual+p.typical, in+1
+		if p.joined {
+			all, n = all+p.rate(), n+1
+			if p.zone == z.name {
+				own, in = own+p.rate(), in+1
+			}
 		}
-		all, n = all+r, n+1
 	}
-	if all > 0 && in > 0 {
-		all = all / n * math.Max(n, a.num("proxies", n))
-		part = now / all * math.Max(1, a.num("proxies", n)/float64(len(a.zones))/in)
+	if all == 0 || in == 0 {
+		return 0
 	}
-	return now, usual, part
+	proxies := math.Max(n, a.num("proxies", n))
+	return own / all * n / proxies * math.Max(1, proxies/float64(len(a.zones))/in)
 }
 
 // ---- tasks
@@ -366,7 +361,6 @@
 	late                      bool    // the good answers come late
 	busy                      float64
 	ease, next                float64 // and when it may move again
-	out, hold                 float64 // kept out until; for how long the next time
 }
 
 func (v *view) bad() bool { return v.late || v.fails >= failing }
@@ -377,7 +371,7 @@
 			return v
 		}
 	}
-	v := &view{zone: zone, ease: 1, hold: firstHold, judged: -unheard, since: a.now}
+	v := &view{zone: zone, ease: 1, judged: -unheard, since: a.now}
 	t.views = append(t.views, v)
 	return v
 }
@@ -399,7 +393,7 @@
 // part is how much of its listed weight a line of this task may have for proxies of a zone.
 func (t *task) part(a *Assigner, zone string) float64 {
 	v := t.view(a, zone)
-	if t.state != Ready || a.now < v.out {
+	if t.state != Ready {
 		return 0
 	}
 	return math.Min(v.ease, t.warm(a))
@@ -435,43 +429,31 @@
 }
 
 func (t *task) judge(a *Assigner, v *view) {
-	if a.now >= v.out && (v.tries < fewest/2 || v.tries < fewest && v.ease >= 0.5) {
-		return
+	if v.tries < fewest/2 || v.tries < fewest && v.ease >= 0.5 {
+		return // a line on trial brings few tries, and most of what there is to learn
 	}
-	if a.now >= v.out {
-		done := v.tries - v.failed
-		mean, mark := v.sum/math.Max(done, 1), a.lateMark()
-		v.fails, v.late = v.failed/v.tries, mean > mark
-		v.well, v.judged = done/math.Max(a.now-v.since, beat)*math.Min(1, math.Max(0.8, mark/mean)), a.now
-		if done == 0 && math.Pow(a.split.fails, v.tries) < chance {
-			t.shut(a, v, "silent")
-		} else if !v.bad() && a.now >= v.next {
-			v.ease, v.next = math.Min(1, v.ease+easeStep), a.now+period
-			if v.ease == 1 {
-				v.hold = firstHold
-			}
-		}
+	done := v.tries - v.failed
+	mean, mark := v.sum/math.Max(done, 1), a.lateMark()
+	v.fails, v.late = v.failed/v.tries, mean > mark
+	v.well, v.judged = done/math.Max(a.now-v.since, beat)*math.Min(1, math.Max(0.8, mark/mean)), a.now
+	if !v.bad() && a.now >= v.next {
+		v.ease, v.next = math.Min(1, v.ease+easeStep), a.now+period
 	}
 	v.tries, v.failed, v.sum, v.since = 0, 0, 0, a.now
 }
 
-// shut keeps a task out of a zone's tables for a while and then puts it on trial: vanished machines,
-// quick errors, a cut between the zone and the task.
-func (t *task) shut(a *Assigner, v *view, why string) {
-	v.out, v.ease = a.now+v.hold, leastEase
-	v.hold = math.Min(2*v.hold, longHold)
-	v.late, v.fails, v.judged = false, 0, -unheard
-	a.logf("task %s %s for %s: out for %.0f s", t.id, why, v.zone, v.out-a.now)
-}
-
 // cut lowers a line whose task answers badly while most do not: a slow machine, a noisy neighbour, a
-// zone with more than it can carry. One that fails and answers late is overloaded, and shutting it would
-// push the next one over; one that fails and answers quickly is ill. It would harm where the judging
-// proxies are at fault themselves.
+// zone with more than it can carry. One that fails and answers late is overloaded, and taking all from
+// it would push the next one over; one that fails without late answers is ill, silent or cut off, and
+// falls to a trial's weight at once. It would harm where the judging proxies are at fault themselves.
 func (t *task) cut(a *Assigner, v *view) {
-	if v.fails >= failing && !v.late && v.fails > 2*a.split.fails {
-		t.shut(a, v, "failing")
-	} else if a.now >= v.next {
+	switch {
+	case v.fails >= failing && !v.late && v.fails > 2*a.split.fails:
+		if v.ease > leastEase {
+			a.logf("task %s fails %.0f%% for %s: on trial", t.id, 100*v.fails, v.zone)
+		}
+		v.ease, v.next = leastEase, a.now+cutEvery
+	case a.now >= v.next:
 		v.ease, v.next = math.Max(leastEase, v.ease*easeCut), a.now+cutEvery
 	}
 }
@@ -596,8 +578,8 @@
 func (p *proxy) draw(a *Assigner, g *tableGroup) []line {
 	type cand struct {
 		line
-		rank int // 0: of the zone; 1: of another; 2: out, and used only in need
-		key  float64
+		far bool
+		key float64
 	}
 	var cands []cand
 	have, most, near := 0.0, 0.0, 0.0
@@ -608,29 +590,21 @@
 		if p.keys[t] == 0 {
 			p.keys[t] = a.rng.ExpFloat64() / t.size
 		}
-		c := cand{line{t, t.size * t.part(a, p.zone)}, 0, p.keys[t]}
+		c := cand{line{t, t.size * t.part(a, p.zone)}, t.zone != p.zone, p.keys[t]}
 		have += c.w
-		if t.zone != p.zone {
-			c.rank = 1
-			if t.warm(a) < 1 && !g.like.shut(p.zone) {
-				continue // its own zone's proxies warm it: they know what they bring there
-			}
+		if c.w <= 0 || c.far && t.warm(a) < 1 && !g.like.shut(p.zone) {
+			continue // a cold task's own zone warms it: its proxies know what they bring there
 		}
-		if c.w <= 0 {
-			c.rank, c.w = 2, t.size/2
-		} else if c.rank == 0 {
+		if !c.far {
 			near += c.w
 		}
 		cands = append(cands, c)
 	}
-	slices.SortStableFunc(cands, func(x, y cand) int {
-		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.key, y.key))
-	})
+	slices.SortStableFunc(cands, func(x, y cand) int { return cmp.Compare(x.key, y.key) })
 	for _, z := range a.zones {
 		most += z.most
 	}
 	home := a.zone(p.zone)
-	now, usualRate, part := home.brings(a)
 	usual, want := most/math.Max(1, float64(len(a.zones))), math.Inf(1)
 	if near > 0 {
 		if home.most > usual/2 { // else the zone is just coming back, and this life saw it never whole
@@ -638,7 +612,7 @@
 		}
 		want = usual * math.Min(1, have/most)
 		if home.hot {
-			want = math.Max(want, have*part)
+			want = math.Max(want, have*home.brings(a))
 		}
 	}
 	room := float64(tableSize) // lines for the zone: but its part of them where it cannot carry all
@@ -647,24 +621,23 @@
 	}
 	var lines []line
 	sum, cold := 0.0, 0.0
-	for _, c := range cands {
-		ok := len(lines) < tableSize && want-sum > c.w/2
-		if c.rank == 0 {
-			ok = float64(len(lines)) < room
-		}
-		if c.rank == 2 { // a doubtful task is better than none, and than a pushed-over cold one
-			ok = c.t.warm(a) == 1 && (len(lines) < 2 || cold > 0 && sum-cold < usual/2)
-		}
-		if ok {
-			lines, sum = append(lines, c.line), sum+c.w
-			if c.t.warm(a) < 1 {
-				cold += c.w
+	for _, far := range []bool{false, true} {
+		for _, c := range cands {
+			fits := float64(len(lines)) < room
+			if far {
+				fits = len(lines) < tableSize && want-sum > c.w/2
+			}
+			if c.far == far && fits {
+				lines, sum = append(lines, c.line), sum+c.w
+				if c.t.warm(a) < 1 {
+					cold += c.w
+				}
 			}
 		}
 	}
-	// A cold task takes neither the part of warm ones that are out nor a surge: its part of the table
-	// stays what the full table would give it.
-	top := math.Min(0.9, cold/math.Max(usual, 1e-9)*math.Min(1, usualRate/math.Max(now, 1e-9)))
+	// A cold task does not take the part of warm ones that are missing: its part of the table stays
+	// what the full table would give it.
+	top := math.Min(0.9, cold/math.Max(usual, 1e-9))
 	if warm := sum - cold; warm > 0 && cold > top*sum {
 		for i, l := range lines {
 			if l.t.warm(a) < 1 {
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -174,33 +174,24 @@
 	}
 }
 
-// A task that fails and answers late is overloaded: shutting it would throw its load on the next one.
-func TestOverloadedTaskIsCutNotShut(t *testing.T) {
-	w := calm(t)
-	for i := 0; i < 6; i++ {
-		w.step(1.01, append(w.reports(0.4), Met{Zone: "x", Task: "t0", Span: 1, Mean: 2, Tries: 40, Failed: 25})...)
-	}
-	v := w.a.tasks["t0"].view(w.a, "x")
-	if v.ease >= 1 || v.out > w.now {
-		t.Errorf("ease %v, out for %v", v.ease, v.out-w.now)
-	}
-}
-
-// Full tasks refuse every try; where all do, silence proves nothing.
-func TestSilenceIsJudgedAgainstTheFleet(t *testing.T) {
-	w := calm(t)
-	w.a.split.fails = 0.9
-	v := w.a.tasks["t0"].view(w.a, "x")
-	v.tries, v.failed = 6, 6
-	w.a.tasks["t0"].judge(w.a, v)
-	if v.out > w.now {
-		t.Error("shut on little evidence")
-	}
-	w.a.split.fails = 0.1
-	v.tries, v.failed = 6, 6
-	w.a.tasks["t0"].judge(w.a, v)
-	if v.out <= w.now {
-		t.Error("a silent task stays in")
+// A task that fails and answers late is overloaded: taking all from it would push the next one over. One
+// that fails without late answers is ill; and where all fail alike, none is.
+func TestOverloadedTaskIsCutAndIllOnePutOnTrial(t *testing.T) {
+	for _, c := range []struct {
+		mean, fleet, least, most float64
+		failed                   int
+	}{{2, 0.1, 0.5, 0.9, 25}, {0.2, 0.1, leastEase, leastEase, 25}, {0, 0.1, leastEase, leastEase, 40}, {0, 0.9, 0.5, 0.9, 40}} {
+		w := calm(t)
+		k := w.a.tasks["t0"]
+		v := k.view(w.a, "x")
+		k.take(w.a, Met{Zone: "x", Task: "t0", Span: 1, Mean: c.mean, Tries: 40, Failed: c.failed})
+		k.judge(w.a, v)
+		w.a.split.fails = c.fleet
+		v.next = 0
+		k.cut(w.a, v)
+		if v.ease < c.least || v.ease > c.most {
+			t.Errorf("%+v: ease %v", c, v.ease)
+		}
 	}
 }
 
@@ -208,7 +199,7 @@
 func TestTablesAreNeverBare(t *testing.T) {
 	w := calm(t)
 	for _, k := range w.a.fleet {
-		k.view(w.a, "x").out = w.now + 100
+		k.view(w.a, "x").ease = leastEase
 	}
 	if l := w.proxy(0).draw(w.a, w.a.groups[1]); len(l) < 2 {
 		t.Errorf("lines %v", l)
