Beside cold tasks keep warm lines, and let in what the table carries

Causes found on the tap: the tables' demand was scaled by what the fleet had left, so tables of a zone with one restarted task held that task alone; and a table whose last usable task went kept its gone lines, as there was nothing to put in. Told from a slow channel by the receipts. Now a table with cold tasks is filled as for the whole zone with three lines kept for other zones, gone tasks always leave, cold tasks of other zones serve when nothing else is left, and the level beside cold tasks follows what the table carries. Should also hold for any model- or rack-wide restart; sheds more than needed where cold tasks warm fast.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -29,6 +29,7 @@
 	step        = 1.1  // of the total, each period without overload (design page)
 	clearOver   = 1.2  // total over use at which levels go (design page)
 	tableSize   = 10   // tasks in an own table (design page)
+	coldAside   = 3    // of its lines that are kept for other zones' tasks beside cold ones
 	moved       = 0.1  // smaller moves of a level or weight are not worth a message (design page)
 	channelPart = 0.5  // of the channel's limit that ordinary orders may fill (design page)
 	urgentPart  = 0.9  // and drains, which must not wait behind them
@@ -574,15 +575,16 @@
 }
 
 // draw gives the lines of an own table: the zone's tasks first, since crossing zones is charged, then
-// others drawn at listed weights until the table can carry what the zone's tasks usually do.
-func (p *proxy) draw(a *Assigner, g *tableGroup) []line {
+// others drawn at listed weights until the table can carry what the zone's tasks usually do. It tells
+// how much of that it then carries.
+func (p *proxy) draw(a *Assigner, g *tableGroup) (lines []line, full float64) {
 	type cand struct {
 		line
 		far bool
 		key float64
 	}
-	var cands []cand
-	have, most, near := 0.0, 0.0, 0.0
+	var cands, last []cand
+	have, most, near, thaws := 0.0, 0.0, 0.0, false
 	for _, t := range a.fleet {
 		if t.state != Ready || !g.open(t, p.zone) {
 			continue
@@ -592,14 +594,22 @@
 		}
 		c := cand{line{t, t.size * t.part(a, p.zone)}, t.zone != p.zone, p.keys[t]}
 		have += c.w
-		if c.w <= 0 || c.far && t.warm(a) < 1 && !g.like.shut(p.zone) {
-			continue // a cold task's own zone warms it: its proxies know what they bring there
+		if c.w <= 0 {
+			continue
+		}
+		if c.far && t.warm(a) < 1 && !g.like.shut(p.zone) {
+			last = append(last, c) // its own zone's proxies warm it: they know what they bring there
+			continue
 		}
 		if !c.far {
 			near += c.w
+			thaws = thaws || t.warm(a) < 1
 		}
 		cands = append(cands, c)
 	}
+	if len(cands) == 0 {
+		cands = last // nothing warm anywhere, nothing of the zone: better these than none
+	}
 	slices.SortStableFunc(cands, func(x, y cand) int { return cmp.Compare(x.key, y.key) })
 	for _, z := range a.zones {
 		most += z.most
@@ -619,7 +629,9 @@
 	if want > near && want*float64(len(cands)) > room*have && near > 0 {
 		room = math.Ceil(room * near / want)
 	}
-	var lines []line
+	if thaws { // beside cold tasks there must be warm ones, however ill these look
+		want, room = math.Max(want, usual), math.Min(room, tableSize-coldAside)
+	}
 	sum, cold := 0.0, 0.0
 	for _, far := range []bool{false, true} {
 		for _, c := range cands {
@@ -644,8 +656,9 @@
 				lines[i].w *= top / (1 - top) * warm / cold
 			}
 		}
+		sum = warm / (1 - top)
 	}
-	return lines
+	return lines, math.Min(1, sum/math.Max(usual, 1e-9))
 }
 
 // orders gives what a proxy's tables lack against what they should hold, the lines that this costs,
@@ -659,10 +672,7 @@
 	}
 	for _, g := range a.groups {
 		table := p.id*len(a.groups) + g.pos
-		want := p.draw(a, g)
-		if len(want) == 0 {
-			continue
-		}
+		want, full := p.draw(a, g)
 		n := len(out)
 		if !p.own {
 			out, p.laid[g.pos], p.levels = append(out, Clear{table}), nil, nil
@@ -680,7 +690,15 @@
 				urgent = urgent || w > l.w && l.t.warm(a) < 1
 			}
 		}
-		out = p.levelOrders(a, g, table, want, out)
+		if !slices.ContainsFunc(want, func(l line) bool { return l.t.warm(a) < 1 }) {
+			full = 0
+		}
+		before := len(out)
+		out = p.levelOrders(a, g, table, full, out)
+		for _, o := range out[before:] {
+			l := o.(SetLevel)
+			urgent = urgent || full > 0 && p.levels != nil && l.Amount < p.levels[l.Kinds[0]]/2
+		}
 		if !p.own {
 			b := Bind{Proxy: p.id, Table: table}
 			if len(a.groups) > 1 {
@@ -694,17 +712,17 @@
 }
 
 // levelOrders sheds the lowest value first: the dearer kinds take their use from the proxy's level,
-// and only the kind at the margin is held to what is left.
-func (p *proxy) levelOrders(a *Assigner, g *tableGroup, table int, lines []line, out []Order) []Order {
-	cold := slices.ContainsFunc(lines, func(l line) bool { return l.t.warm(a) < 1 })
-	if p.level == 0 && p.levels == nil && !cold {
+// and only the kind at the margin is held to what is left. Cold: how much of the usual a table with cold
+// tasks carries; 0 without.
+func (p *proxy) levelOrders(a *Assigner, g *tableGroup, table int, cold float64, out []Order) []Order {
+	if p.level == 0 && p.levels == nil && cold == 0 {
 		return out
 	}
 	left := p.level
 	for _, k := range a.byValue {
 		r, want, is := p.rates[k.pos], noLevel, noLevel
-		if cold { // a surge is heard of too late for a cold task, which a few seconds of it push over
-			want = a.num("fall.multiple", 2) / 2 * math.Max(r, p.typical*k.part)
+		if cold > 0 { // a surge is heard of too late for a cold task, which a few seconds of it push over
+			want = cold * a.num("fall.multiple", 2) / 2 * math.Max(r, p.typical*k.part)
 		}
 		if p.level > 0 && r > left {
 			want = math.Min(want, left)
@@ -718,7 +736,7 @@
 		}
 		if slices.Contains(g.kinds, k.pos) && math.Abs(want-is) > moved*math.Max(want, is) {
 			resend := int(a.num("resend.usual", 0))
-			if resend > 1 || p.level > 0 || cold {
+			if resend > 1 || p.level > 0 || cold > 0 {
 				resend = 0 // fuel to an overload, a burst on a cold task; and not all may run twice
 			}
 			out = append(out, SetLevel{Table: table, Kinds: []int{k.pos}, Amount: want, Resend: resend})
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -201,7 +201,7 @@
 	for _, k := range w.a.fleet {
 		k.view(w.a, "x").ease = leastEase
 	}
-	if l := w.proxy(0).draw(w.a, w.a.groups[1]); len(l) < 2 {
+	if l, _ := w.proxy(0).draw(w.a, w.a.groups[1]); len(l) < 2 {
 		t.Errorf("lines %v", l)
 	}
 }
@@ -261,3 +261,56 @@
 		}
 	}
 }
+
+// When all that a table held goes and only cold tasks are left, the gone must still leave it at once, and
+// what the proxies let in must shrink to what cold tasks can do.
+func TestOnlyColdTasksLeft(t *testing.T) {
+	w := calm(t)
+	var l []Entry
+	for i, k := range w.tasks {
+		if k.State = Gone; i == 1 || i == 4 { // of zone y
+			k.State, k.Started = Ready, w.now-3.5
+		}
+		l = append(l, k.Entry)
+	}
+	w.step(0.01, Listed{Entries: l})
+	for i := 0; i < 30; i++ {
+		w.step(0.1)
+	}
+	if w.bad != "" {
+		t.Error(w.bad)
+	}
+	for _, p := range w.prox {
+		if h := w.holds(p, 0); h["t1"] == 0 || h["t4"] == 0 {
+			t.Errorf("proxy %d holds %v", p.id, h)
+		}
+		if lv := w.proxy(p.id).levels; lv == nil || lv[0] > 5 {
+			t.Errorf("proxy %d lets in %v", p.id, lv)
+		}
+	}
+}
+
+// Beside cold tasks a table needs warm ones, however ill those look.
+func TestWarmTasksBesideColdOnes(t *testing.T) {
+	w := calm(t)
+	var l []Entry
+	for _, k := range w.tasks {
+		if k.Zone == "x" {
+			k.Started = w.now - 3.5
+			l = append(l, k.Entry)
+		} else {
+			w.a.tasks[k.Task].view(w.a, "x").ease = leastEase
+		}
+	}
+	w.step(0.01, Listed{Entries: l})
+	lines, full := w.proxy(0).draw(w.a, w.a.groups[1])
+	cold, sum := 0.0, 0.0
+	for _, x := range lines {
+		if sum += x.w; x.t.warm(w.a) < 1 {
+			cold += x.w
+		}
+	}
+	if cold/sum > 0.5 || full > 0.5 {
+		t.Errorf("cold tasks take %.2f of a table that carries %.2f", cold/sum, full)
+	}
+}
