--- a/assign/assign.go
+++ b/assign/assign.go
@@ -12,6 +12,7 @@
 //  2. own:    a proxy leaves its standing table also when that may hold a task needing care, or history
 //  3. fill:   an own table takes its zone's tasks first and others only for what these cannot carry
 //  4. window: orders wait while unapplied lines fill the channel's part; drains and joins pass first
+//  5. thaw:   while its tables hold cold tasks a proxy lets in no more than these bear
 
 import (
 	"cmp"
