Let parts change each other by notes only

The split set shares and the desk set what proxies hold by writing into their records; both now post notes, and the loop takes one note at a time in the order posted.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -3,7 +3,7 @@
 // A host calls New once for each life of an assigner and then Handle for every batch of events; the
 // orders returned take effect at that batch's time, in their order. The types of both stand in door.go.
 // Inside, tasks, proxies, the split and the desk are actors: they talk only by notes put into inboxes,
-// which the one loop in run empties. A task's record may be read by all, but changed by its notes only.
+// which the one loop in run empties. A record may be read by all, but is changed by its notes only.
 //
 // The ordinary path is the design page's: standing tables, no level, listed weights; under a wide
 // overload one total is split as stored proportions. Beside it stand these mechanisms, at most six:
@@ -66,7 +66,12 @@
 	beatNote  struct{}
 	cutNote   struct{ v *view }
 	goneNote  struct{}
-	levelNote struct{ amount float64 }
+	levelNote struct{ share, amount float64 }
+	admitNote struct{ p *proxy }
+	sentNote  struct {
+		orders []Order
+		sent
+	}
 )
 
 type reqKind struct {
@@ -99,7 +104,7 @@
 	nextBeat, nextPeriod float64
 	rng                  *rand.Rand
 	out                  []Order
-	busy                 []actor // those with notes in their inbox
+	busy                 []actor // whose inboxes are to be emptied, one entry a note
 	tasks                map[string]*task
 	fleet                []*task // in the order first listed
 	crowd                []*proxy
@@ -196,22 +201,17 @@
 func (a *Assigner) logf(f string, v ...any) { a.out = append(a.out, Log{fmt.Sprintf(f, v...)}) }
 
 func (a *Assigner) post(to actor, n note) {
-	b := to.box()
-	if len(b.notes) == 0 {
-		a.busy = append(a.busy, to)
-	}
-	b.notes = append(b.notes, n)
+	to.box().notes = append(to.box().notes, n)
+	a.busy = append(a.busy, to)
 }
 
 // run is the one loop that empties the inboxes.
 func (a *Assigner) run() {
 	for i := 0; i < len(a.busy); i++ {
 		b := a.busy[i].box()
-		notes := b.notes
-		b.notes = nil
-		for _, n := range notes {
-			a.busy[i].take(a, n)
-		}
+		n := b.notes[0]
+		b.notes = b.notes[1:]
+		a.busy[i].take(a, n)
 	}
 	a.busy = a.busy[:0]
 }
@@ -545,7 +545,7 @@
 			}
 		}
 		if p.share == 0 {
-			a.split.admit(a, p)
+			a.post(a.split, admitNote{p})
 		}
 	case Left:
 		p.joined, p.open = false, nil
@@ -556,11 +556,20 @@
 				p.heard = a.now
 			}
 		}
+		if p.share == 0 && p.joined {
+			a.post(a.split, admitNote{p})
+		}
 	case Applied:
 		i := slices.IndexFunc(p.open, func(s sent) bool { return s.mark == n.Mark })
 		p.open = p.open[i+1:]
 	case levelNote:
-		p.level = n.amount
+		p.share, p.level = n.share, n.amount
+	case sentNote:
+		p.holds(a, n.orders)
+		p.wrote = slices.DeleteFunc(p.wrote, func(at float64) bool { return a.now-at > a.desk.span })
+		p.wrote, p.open = append(p.wrote, a.now), append(p.open, n.sent)
+	case goneNote:
+		p.share, p.rates = 0, make([]float64, len(a.kinds))
 	}
 }
 
@@ -746,8 +755,8 @@
 	return out
 }
 
-// sent notes what the proxy will hold once the orders are applied.
-func (p *proxy) sent(a *Assigner, out []Order) {
+// holds notes what the proxy will hold once the orders are applied.
+func (p *proxy) holds(a *Assigner, out []Order) {
 	for _, o := range out {
 		switch o := o.(type) {
 		case SetLine:
@@ -785,12 +794,18 @@
 func (s *split) admit(a *Assigner, p *proxy) {
 	l := s.active(a)
 	for _, q := range l {
-		q.share *= 1 - 1/float64(len(l)+1)
+		a.post(q, levelNote{q.share * (1 - 1/float64(len(l)+1)), q.level})
 	}
-	p.share = 1 / float64(len(l)+1)
+	a.post(p, levelNote{1 / float64(len(l)+1), 0})
 }
 
-func (s *split) take(a *Assigner, _ note) {
+func (s *split) take(a *Assigner, n note) {
+	if n, ok := n.(admitNote); ok {
+		if n.p.share == 0 {
+			s.admit(a, n.p)
+		}
+		return
+	}
 	for _, z := range a.zones {
 		z.look(a)
 	}
@@ -800,9 +815,8 @@
 	use := 0.0
 	for _, p := range a.crowd {
 		if a.now-p.heard > unheard {
-			p.share, p.rates = 0, make([]float64, len(a.kinds))
-		} else if p.share == 0 && p.joined {
-			s.admit(a, p)
+			a.post(p, goneNote{})
+			continue
 		}
 		use += p.rate()
 		for _, k := range a.kinds {
@@ -825,29 +839,29 @@
 	// An under-user drops to its use, and with no total all are; what that frees goes in equal
 	// pieces to those that use all of theirs.
 	l := s.active(a)
-	var full []*proxy
-	freed, sum := 0.0, 0.0
-	for _, p := range l {
-		switch r := p.rate(); {
-		case s.total > 0 && r >= fullUse*p.share*s.total:
-			full = append(full, p)
-		case s.total > 0:
-			freed += p.share - r/s.total
-			p.share = r / s.total
-		case use > 0:
-			p.share = r / use
+	shares := make([]float64, len(l))
+	freed, full, sum := 0.0, 0.0, 0.0
+	isFull := func(p *proxy) bool { return s.total > 0 && p.rate() >= fullUse*p.share*s.total }
+	for i, p := range l {
+		shares[i] = p.share
+		if isFull(p) {
+			full++
+		} else if s.total > 0 {
+			shares[i] = p.rate() / s.total
+			freed += p.share - shares[i]
+		} else if use > 0 {
+			shares[i] = p.rate() / use
 		}
-		p.share = math.Max(p.share, 1e-6)
+		shares[i] = math.Max(shares[i], 1e-6)
 	}
-	for _, p := range full {
-		p.share += freed / float64(len(full))
-	}
-	for _, p := range l {
-		sum += p.share
+	for i, p := range l {
+		if isFull(p) {
+			shares[i] += freed / full
+		}
+		sum += shares[i]
 	}
-	for _, p := range l {
-		p.share /= sum
-		a.post(p, levelNote{p.share * s.total})
+	for i, p := range l {
+		a.post(p, levelNote{shares[i] / sum, shares[i] / sum * s.total})
 	}
 }
 
@@ -899,36 +913,43 @@
 	for _, s := range a.owned {
 		s.keep(a)
 	}
-	queued := 0.0
+	type job struct {
+		p      *proxy
+		orders []Order
+		cost   float64
+		urgent bool
+	}
+	var jobs []job // the urgent ones first
+	queued, first := 0.0, 0
 	for _, p := range a.crowd {
 		for _, s := range p.open {
 			queued += s.lines
 		}
+		if p.joined && a.num("slices", 0) == 0 {
+			if orders, lines, urgent := p.orders(a); len(orders) > 0 {
+				j := job{p, orders, lines + d.head + 1, urgent}
+				if urgent {
+					jobs, first = slices.Insert(jobs, first, j), first+1
+				} else {
+					jobs = append(jobs, j)
+				}
+			}
+		}
 	}
 	d.waiting = false
 	mark := (d.mark + 1) % 65536
-	for _, first := range []bool{true, false} {
-		for _, p := range a.crowd {
-			if !p.joined || a.num("slices", 0) > 0 {
-				continue
-			}
-			orders, lines, urgent := p.orders(a)
-			if len(orders) == 0 || urgent != first {
-				continue
-			}
-			part, cost := channelPart, lines+d.head+1
-			if urgent {
-				part = urgentPart
-			}
-			if queued+cost > part*d.limit || !d.mayWrite(a, p, urgent) {
-				d.waiting = true
-				continue
-			}
-			d.mark, queued = mark, queued+cost
-			a.out = append(a.out, orders...)
-			p.sent(a, orders)
-			p.wrote, p.open = append(p.wrote, a.now), append(p.open, sent{mark, cost})
+	for _, j := range jobs {
+		part := channelPart
+		if j.urgent {
+			part = urgentPart
+		}
+		if queued+j.cost > part*d.limit || !d.mayWrite(a, j.p, j.urgent) {
+			d.waiting = true
+			continue
 		}
+		d.mark, queued = mark, queued+j.cost
+		a.out = append(a.out, j.orders...)
+		a.post(j.p, sentNote{j.orders, sent{mark, j.cost}})
 	}
 	if d.mark == mark {
 		a.out = append(a.out, Mark{mark, false})
@@ -940,12 +961,16 @@
 
 // mayWrite keeps a third of the messages allowed to one proxy for what is urgent.
 func (d *desk) mayWrite(a *Assigner, p *proxy, urgent bool) bool {
-	p.wrote = slices.DeleteFunc(p.wrote, func(at float64) bool { return a.now-at > math.Max(d.span, beat) })
-	if d.most > 0 && len(p.wrote) >= d.most-1 {
+	n, last := 0, math.Inf(-1)
+	for _, at := range p.wrote {
+		if last = at; a.now-at <= d.span {
+			n++
+		}
+	}
+	if d.most > 0 && n >= d.most-1 {
 		return false
 	}
-	n := len(p.wrote)
-	return urgent || n == 0 || a.now-p.wrote[n-1] >= beat/2 && (d.most == 0 || n < d.most*2/3)
+	return urgent || a.now-last >= beat/2 && (d.most == 0 || n < d.most*2/3)
 }
 
 // ---- slices
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -168,7 +168,8 @@
 			p.rates[0] = 30
 		}
 	}
-	s.take(w.a, beatNote{})
+	w.a.post(s, beatNote{})
+	w.a.run()
 	if math.Abs(l[0].share-l[1].share) > 1e-9 || l[0].share < 0.3 || l[5].share > 0.08 {
 		t.Errorf("shares %v, %v and %v", l[0].share, l[1].share, l[5].share)
 	}
