--- a/assign/assign.go
+++ b/assign/assign.go
@@ -30,6 +30,9 @@
 	step        = 1.1  // of the total, each period without overload (design page)
 	clearOver   = 1.2  // total over use at which levels go (design page)
 	tableSize   = 10   // tasks in an own table (design page)
+	thaw        = 0.5  // of the fall multiple: proxies bring more before any report tells
+	lateWell    = 0.8  // of late answers that count as well at least: tasks still work while they are late
+	nearFrom    = 4    // ready tasks in a zone at a joining that make its standing table the zone's own
 	coldAside   = 3    // of its lines that are kept for other zones' tasks beside cold ones
 	moved       = 0.1  // smaller moves of a level or weight are not worth a message (design page)
 	channelPart = 0.5  // of the channel's limit that ordinary orders may fill (design page)
@@ -437,7 +440,7 @@
 	done := v.tries - v.failed
 	mean, mark := v.sum/math.Max(done, 1), a.lateMark()
 	v.fails, v.late = v.failed/v.tries, mean > mark
-	v.well, v.judged = done/math.Max(a.now-v.since, beat)*math.Min(1, math.Max(0.8, mark/mean)), a.now
+	v.well, v.judged = done/math.Max(a.now-v.since, beat)*math.Min(1, math.Max(lateWell, mark/mean)), a.now
 	if !v.bad() && a.now >= v.next {
 		v.ease, v.next = math.Min(1, v.ease+easeStep), a.now+period
 	}
@@ -536,8 +539,8 @@
 					in++
 				}
 			}
-			p.near = p.near && in >= 4
-			p.history = p.history || in < 3 && !g.like.shut(p.zone) // a zone going or coming: who knows
+			p.near = p.near && in >= nearFrom
+			p.history = p.history || in < nearFrom-1 && !g.like.shut(p.zone) // a zone going or coming: who knows
 		}
 		if p.rate() == 0 { // until it is heard, it brings what it typically does
 			for i := range p.rates {
@@ -732,7 +735,7 @@
 	for _, k := range a.byValue {
 		r, want, is := p.rates[k.pos], noLevel, noLevel
 		if cold > 0 { // a surge is heard of too late for a cold task, which a few seconds of it push over
-			want = cold * a.num("fall.multiple", 2) / 2 * math.Max(r, p.typical*k.part)
+			want = cold * thaw * a.num("fall.multiple", 2) * math.Max(r, p.typical*k.part)
 		}
 		if p.level > 0 && r > left {
 			want = math.Min(want, left)
