Measure a table beside cold tasks by what ten lines can carry

Cause: the fleet grew from 37 to 92 tasks, and each ten-line table was held to what its whole zone lists, cold newcomers included. Told from an overload by the log (none) and the quick answers. Now the measure is ten lines where the zone has more.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -671,6 +671,11 @@
 		}
 		sum = warm / (1 - top)
 	}
+	listed := 0.0
+	for _, c := range cands {
+		listed += c.t.size
+	}
+	usual = math.Min(usual, tableSize*listed/math.Max(1, float64(len(cands)))) // more tasks than lines
 	return lines, math.Min(1, sum/math.Max(usual, 1e-9))
 }
 
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -315,3 +315,17 @@
 		t.Errorf("cold tasks take %.2f of a table that carries %.2f", cold/sum, full)
 	}
 }
+
+// A zone with more tasks than a table has lines carries what ten lines carry: while the fleet grows by cold
+// tasks, proxies must not be held to a small part of what they bring.
+func TestGrowingZoneIsNotLeveledForItsSize(t *testing.T) {
+	w := calm(t)
+	for i := 0; i < 20; i++ {
+		e := Entry{Zone: "x", Task: string(rune('A' + i)), Size: 1.5, Started: w.now - 6}
+		w.tasks = append(w.tasks, &fact{Entry: e})
+		w.step(0.01, Listed{Entries: []Entry{e}})
+	}
+	if lines, full := w.proxy(0).draw(w.a, w.a.groups[1]); len(lines) > tableSize || full < 0.5 {
+		t.Errorf("%d lines carry %.2f", len(lines), full)
+	}
+}
