Look at a proxy only when its tables may lack something; plan tables once a look

Cause: every batch while an order waited redrew every proxy's tables from the whole fleet, so that the adapter used 50 s of CPU on 606 proxies and 254 tasks. The desk now keeps the proxies that are due, tries waiting ones ten times a second, and what a zone's tables are drawn from is worked out once a look.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -71,6 +71,7 @@
 	goneNote  struct{}
 	levelNote struct{ share, amount float64 }
 	admitNote struct{ p *proxy }
+	lookNote  struct{ p *proxy } // nil: at all
 	sentNote  struct {
 		orders []Order
 		sent
@@ -116,7 +117,6 @@
 	groups               []*tableGroup
 	split                *split
 	desk                 *desk
-	owned                []*slice
 	rings                int
 }
 
@@ -171,25 +171,24 @@
 			a.out = append(a.out, Follow{true})
 		}
 	}
-	look := a.desk.waiting
 	for _, e := range events {
-		look = a.sort(e) || look
+		a.sort(e)
 	}
 	a.run()
 	if now >= a.nextBeat-1e-9 {
-		look, a.nextBeat = true, now+beat
+		a.nextBeat = now + beat
 		a.ring(beat)
 		for _, t := range a.fleet {
 			a.post(t, beatNote{})
 		}
-		a.run()
 		if now >= a.nextPeriod-1e-9 {
 			a.nextPeriod = now + period
 			a.post(a.split, beatNote{})
 		}
+		a.post(a.desk, lookNote{})
 	}
-	if look {
-		a.run()
+	a.run()
+	if len(a.desk.due) > 0 && now >= a.desk.next {
 		a.post(a.desk, beatNote{})
 	}
 	a.run()
@@ -219,13 +218,12 @@
 	a.busy = a.busy[:0]
 }
 
-// sort turns ids into objects and puts the event into the inbox it concerns. It tells whether the
-// desk must look at the tables at once.
-func (a *Assigner) sort(e Event) bool {
+// sort turns ids into objects and puts the event into the inbox it concerns.
+func (a *Assigner) sort(e Event) {
 	switch e := e.(type) {
 	case Listed:
 		a.list(e)
-		return true
+		a.post(a.desk, lookNote{})
 	case Met:
 		if t := a.tasks[e.Task]; t != nil {
 			a.post(t, e)
@@ -234,25 +232,12 @@
 		a.post(a.proxy(e.Proxy), e)
 	case Joined:
 		a.post(a.proxy(e.Proxy), e)
-		return true
+		a.post(a.desk, lookNote{a.proxy(e.Proxy)})
 	case Left:
 		a.post(a.proxy(e.Proxy), e)
 	case Applied:
 		a.post(a.proxy(e.Proxy), e)
-	case Given:
-		a.owned = slices.DeleteFunc(a.owned, func(s *slice) bool { return s.id == e.Slice })
-		if e.Ours {
-			a.owned = append(a.owned, &slice{id: e.Slice})
-		}
-		return true
-	case Held:
-		for _, s := range a.owned {
-			if t := a.tasks[e.Task]; s.id == e.Slice && t != nil {
-				s.lines = append(s.lines, line{t, e.Weight})
-			}
-		}
 	}
-	return false
 }
 
 // proxy finds or makes the record of a proxy; crowd is kept by number, so that no order hangs on arrival.
@@ -275,7 +260,7 @@
 		named[n.Task] = true
 		t := a.tasks[n.Task]
 		if t == nil {
-			t = &task{id: n.Task, state: Gone}
+			t = &task{id: n.Task, pos: len(a.fleet), state: Gone}
 			a.tasks[n.Task] = t
 			a.fleet = append(a.fleet, t)
 		}
@@ -305,6 +290,9 @@
 	name      string
 	now, most float64
 	hot       bool // its tasks are nearly full: its tables must count what its proxies bring
+	plans     map[*tableGroup]*plan
+	// Standing tables that hold only its tasks, or any, may stay: 0, need care: 1, and a rule waits for it: 2.
+	care map[bool]int
 }
 
 func (a *Assigner) zone(name string) *zone {
@@ -317,7 +305,7 @@
 	return a.zones[len(a.zones)-1]
 }
 
-func (z *zone) look(a *Assigner) {
+func (z *zone) gauge(a *Assigner) {
 	busy, size := 0.0, 0.0
 	for _, t := range a.fleet {
 		if t.zone == z.name && t.state == Ready {
@@ -352,6 +340,7 @@
 type task struct {
 	inbox
 	id, zone string
+	pos      int // in the fleet
 	size     float64
 	state    State
 	started  float64
@@ -370,6 +359,24 @@
 
 func (v *view) bad() bool { return v.late || v.fails >= failing }
 
+// plan makes what the tables of the zone's proxies are decided by.
+func (z *zone) look(a *Assigner) {
+	z.plans, z.care = map[*tableGroup]*plan{}, map[bool]int{}
+	for _, t := range a.fleet {
+		if t.part(a, z.name) == 1 {
+			continue
+		}
+		c := 1
+		if t.state != Ready || t.warm(a) < 1 {
+			c = 2
+		}
+		z.care[false] = max(z.care[false], c)
+		if t.zone == z.name {
+			z.care[true] = max(z.care[true], c)
+		}
+	}
+}
+
 func (t *task) view(a *Assigner, zone string) *view {
 	for _, v := range t.views {
 		if v.zone == zone {
@@ -510,9 +517,9 @@
 	typical      float64
 	rates        []float64 // by kind
 	heard        float64
-	share, level float64 // level 0: none
-	keys         map[*task]float64
-	laid         [][]line // by group
+	share, level float64   // level 0: none
+	keys         []float64 // by the task's place in the fleet
+	laid         [][]line  // by group
 	levels       []float64
 	wrote        []float64 // times of messages
 	open         []sent    // not yet applied
@@ -530,8 +537,9 @@
 	case Joined:
 		p.joined, p.zone, p.typical, p.heard = true, n.Zone, n.Rate, a.now
 		p.own, p.history, p.near, p.level = false, !n.Fresh, true, 0
+		a.zone(p.zone) // a zone may have proxies and no tasks
 		p.laid, p.levels, p.open, p.wrote = make([][]line, len(a.groups)), nil, nil, nil
-		p.keys = map[*task]float64{}
+		p.keys = nil
 		for _, g := range a.groups { // a kind closed in the zone has its standing table elsewhere
 			in := 0
 			for _, t := range a.fleet {
@@ -578,91 +586,107 @@
 
 // mustLeave tells whether the standing table has to go, and whether a rule waits for that.
 func (p *proxy) mustLeave(a *Assigner) (leave, urgent bool) {
-	leave = p.history || p.level > 0 || a.zone(p.zone).hot
-	for _, t := range a.fleet {
-		if (!p.near || t.zone == p.zone) && t.part(a, p.zone) < 1 {
-			leave, urgent = true, urgent || t.state != Ready || t.warm(a) < 1
-		}
-	}
-	return leave, urgent || p.history
+	z := a.zone(p.zone)
+	c := z.care[p.near]
+	return p.history || p.level > 0 || z.hot || c > 0, p.history || c > 1
 }
 
-// draw gives the lines of an own table: the zone's tasks first, since crossing zones is charged, then
-// others drawn at listed weights until the table can carry what the zone's tasks usually do. It tells
-// how much of that it then carries.
-func (p *proxy) draw(a *Assigner, g *tableGroup) (lines []line, full float64) {
-	type cand struct {
-		line
-		far bool
-		key float64
+// cand is a task as the tables of one zone may hold it.
+type cand struct {
+	line
+	far, cold bool
+}
+
+// plan is what a group's tables in a zone are drawn from. It is worked out once a look, not once a proxy:
+// a large fleet would cost the assigner its whole second.
+type plan struct {
+	cands             []cand
+	want, usual, full float64 // to carry; what a whole zone carries; and a table at most
+	room              int     // lines for the zone
+}
+
+func (z *zone) plan(a *Assigner, g *tableGroup) *plan {
+	if z.plans[g] != nil {
+		return z.plans[g]
 	}
-	var cands, last []cand
+	d := &plan{want: math.Inf(1), room: tableSize}
+	z.plans[g] = d
+	var last []cand
 	have, most, near, thaws := 0.0, 0.0, 0.0, false
 	for _, t := range a.fleet {
-		if t.state != Ready || !g.open(t, p.zone) {
+		if t.state != Ready || !g.open(t, z.name) {
 			continue
 		}
-		if p.keys[t] == 0 {
-			p.keys[t] = a.rng.ExpFloat64() / t.size
-		}
-		c := cand{line{t, t.size * t.part(a, p.zone)}, t.zone != p.zone, p.keys[t]}
+		c := cand{line{t, t.size * t.part(a, z.name)}, t.zone != z.name, t.warm(a) < 1}
 		have += c.w
 		if c.w <= 0 {
 			continue
 		}
-		if c.far && t.warm(a) < 1 && !g.like.shut(p.zone) {
+		if c.far && c.cold && !g.like.shut(z.name) {
 			last = append(last, c) // its own zone's proxies warm it: they know what they bring there
 			continue
 		}
 		if !c.far {
 			near += c.w
-			thaws = thaws || t.warm(a) < 1
+			thaws = thaws || c.cold
 		}
-		cands = append(cands, c)
+		d.cands = append(d.cands, c)
 	}
-	if len(cands) == 0 {
-		cands = last // nothing warm anywhere, nothing of the zone: better these than none
+	if len(d.cands) == 0 {
+		d.cands = last // nothing warm anywhere, nothing of the zone: better these than none
 	}
-	slices.SortStableFunc(cands, func(x, y cand) int { return cmp.Compare(x.key, y.key) })
-	for _, z := range a.zones {
-		most += z.most
+	for _, x := range a.zones {
+		most += x.most
 	}
-	home := a.zone(p.zone)
-	usual, want := most/math.Max(1, float64(len(a.zones))), math.Inf(1)
+	d.usual = most / math.Max(1, float64(len(a.zones)))
 	if near > 0 {
-		if home.most > usual/2 { // else the zone is just coming back, and this life saw it never whole
-			usual = home.most
+		if z.most > d.usual/2 { // else the zone is just coming back, and this life saw it never whole
+			d.usual = z.most
 		}
-		want = usual * math.Min(1, have/most)
-		if home.hot {
-			want = math.Max(want, have*home.brings(a))
+		d.want = d.usual * math.Min(1, have/most)
+		if z.hot {
+			d.want = math.Max(d.want, have*z.brings(a))
+		}
+		if d.want > near && d.want*float64(len(d.cands)) > tableSize*have { // it cannot carry all
+			d.room = int(math.Ceil(tableSize * near / d.want))
 		}
-	}
-	room := float64(tableSize) // lines for the zone: but its part of them where it cannot carry all
-	if want > near && want*float64(len(cands)) > room*have && near > 0 {
-		room = math.Ceil(room * near / want)
 	}
 	if thaws { // beside cold tasks there must be warm ones, however ill these look
-		want, room = math.Max(want, usual), math.Min(room, tableSize-coldAside)
+		d.want, d.room = math.Max(d.want, d.usual), min(d.room, tableSize-coldAside)
 	}
+	for _, c := range d.cands { // what ten lines carry, where there are more tasks
+		d.full += c.t.size * tableSize / float64(len(d.cands))
+	}
+	d.full = math.Min(d.usual, d.full)
+	return d
+}
+
+// draw gives the lines of an own table: the zone's tasks first, since crossing zones is charged, then
+// others drawn at listed weights until the table can carry what the zone's tasks usually do. It tells
+// how much of that it then carries.
+func (p *proxy) draw(a *Assigner, g *tableGroup) (lines []line, full float64) {
+	d := a.zone(p.zone).plan(a, g)
+	for len(p.keys) < len(a.fleet) {
+		p.keys = append(p.keys, a.rng.ExpFloat64())
+	}
+	cands := slices.Clone(d.cands)
+	key := func(c cand) float64 { return p.keys[c.t.pos] / c.t.size }
+	slices.SortFunc(cands, func(x, y cand) int { return cmp.Compare(key(x), key(y)) })
 	sum, cold := 0.0, 0.0
 	for _, far := range []bool{false, true} {
 		for _, c := range cands {
-			fits := float64(len(lines)) < room
-			if far {
-				fits = len(lines) < tableSize && want-sum > c.w/2
+			fits := !far && len(lines) < d.room || far && len(lines) < tableSize && d.want-sum > c.w/2
+			if c.far != far || !fits {
+				continue
 			}
-			if c.far == far && fits {
-				lines, sum = append(lines, c.line), sum+c.w
-				if c.t.warm(a) < 1 {
-					cold += c.w
-				}
+			if lines, sum = append(lines, c.line), sum+c.w; c.cold {
+				cold += c.w
 			}
 		}
 	}
 	// A cold task does not take the part of warm ones that are missing: its part of the table stays
 	// what the full table would give it.
-	top := math.Min(0.9, cold/math.Max(usual, 1e-9))
+	top := math.Min(0.9, cold/math.Max(d.usual, 1e-9))
 	if warm := sum - cold; warm > 0 && cold > top*sum {
 		for i, l := range lines {
 			if l.t.warm(a) < 1 {
@@ -671,23 +695,17 @@
 		}
 		sum = warm / (1 - top)
 	}
-	listed := 0.0
-	for _, c := range cands {
-		listed += c.t.size
-	}
-	usual = math.Min(usual, tableSize*listed/math.Max(1, float64(len(cands)))) // more tasks than lines
-	return lines, math.Min(1, sum/math.Max(usual, 1e-9))
+	return lines, math.Min(1, sum/math.Max(d.full, 1e-9))
 }
 
 // orders gives what a proxy's tables lack against what they should hold, the lines that this costs,
 // and whether a rule waits for it.
 func (p *proxy) orders(a *Assigner) (out []Order, lines float64, urgent bool) {
-	if !p.own {
-		leave, u := p.mustLeave(a)
-		if urgent = u; !leave {
-			return nil, 0, false
-		}
+	leave, urgent := p.mustLeave(a)
+	if !p.joined || !p.own && !leave || a.num("slices", 0) > 0 {
+		return nil, 0, false
 	}
+	urgent = urgent && !p.own
 	for _, g := range a.groups {
 		table := p.id*len(a.groups) + g.pos
 		want, full := p.draw(a, g)
@@ -815,7 +833,7 @@
 		return
 	}
 	for _, z := range a.zones {
-		z.look(a)
+		z.gauge(a)
 	}
 	for _, k := range a.kinds {
 		k.rate = 0
@@ -914,12 +932,21 @@
 	inbox
 	limit, head, span float64
 	most, mark        int
-	waiting           bool
+	due               []*proxy // whose tables may lack something
+	next              float64  // when those that had to wait are tried again
 }
 
-func (d *desk) take(a *Assigner, _ note) {
-	for _, s := range a.owned {
-		s.keep(a)
+func (d *desk) take(a *Assigner, n note) {
+	if n, ok := n.(lookNote); ok {
+		if d.next = 0; n.p == nil {
+			d.due = slices.Clone(a.crowd)
+		} else if !slices.Contains(d.due, n.p) {
+			d.due = append(d.due, n.p)
+		}
+		return
+	}
+	for _, z := range a.zones {
+		z.look(a)
 	}
 	type job struct {
 		p      *proxy
@@ -933,18 +960,18 @@
 		for _, s := range p.open {
 			queued += s.lines
 		}
-		if p.joined && a.num("slices", 0) == 0 {
-			if orders, lines, urgent := p.orders(a); len(orders) > 0 {
-				j := job{p, orders, lines + d.head + 1, urgent}
-				if urgent {
-					jobs, first = slices.Insert(jobs, first, j), first+1
-				} else {
-					jobs = append(jobs, j)
-				}
+	}
+	for _, p := range d.due {
+		if orders, lines, urgent := p.orders(a); len(orders) > 0 {
+			j := job{p, orders, lines + d.head + 1, urgent}
+			if urgent {
+				jobs, first = slices.Insert(jobs, first, j), first+1
+			} else {
+				jobs = append(jobs, j)
 			}
 		}
 	}
-	d.waiting = false
+	d.due = nil
 	mark := (d.mark + 1) % 65536
 	for _, j := range jobs {
 		part := channelPart
@@ -952,7 +979,7 @@
 			part = urgentPart
 		}
 		if queued+j.cost > part*d.limit || !d.mayWrite(a, j.p, j.urgent) {
-			d.waiting = true
+			d.due = append(d.due, j.p)
 			continue
 		}
 		d.mark, queued = mark, queued+j.cost
@@ -962,7 +989,8 @@
 	if d.mark == mark {
 		a.out = append(a.out, Mark{mark, false})
 	}
-	if d.waiting {
+	if len(d.due) > 0 {
+		d.next = a.now + beat/10
 		a.ring(beat / 10)
 	}
 }
@@ -980,26 +1008,3 @@
 	}
 	return urgent || a.now-last >= beat/2 && (d.most == 0 || n < d.most*2/3)
 }
-
-// ---- slices
-
-// slice is a table of a store. It is kept off tasks that went, and no more: no deployment has slices yet.
-type slice struct {
-	id    int
-	lines []line
-}
-
-func (s *slice) keep(a *Assigner) {
-	one, _ := a.cfg["slices.oneOwner"].(bool)
-	for _, l := range slices.Clone(s.lines) {
-		i := slices.IndexFunc(a.fleet, func(t *task) bool { return t.state == Ready && weight(s.lines, t) == 0 })
-		if l.t.state == Ready || i < 0 {
-			continue
-		}
-		a.out = append(a.out, SetLine{s.id, a.fleet[i].id, l.w})
-		if !one {
-			a.out = append(a.out, SetLine{s.id, l.t.id, 0})
-		}
-		s.lines = setLine(setLine(s.lines, line{l.t, 0}), line{a.fleet[i], l.w})
-	}
-}
