Keep dropped tasks while they answer, where gone does not bind

Told from a true loss by the good answers, which go on. Where the setting says that gone does not bind, a dropped task stays until nothing good was heard of it for ten seconds; one that was draining leaves as before. It should hold against any list that loses tasks, partial lists and stale ones too; it may harm where a dead task's last answers come late, but such a line is on trial by then.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -24,7 +24,7 @@
 
 // The tuned values. Those of the design page keep its words; each says what it guards against.
 const (
-	period      = 1.0  // of the split (design page)
+	period      = 1.0  // of the split (design page) and of judging tasks: a dead one is met no longer
 	fullUse     = 0.95 // of a level: above, a proxy takes surplus (design page)
 	unheard     = 10.0 // a silent proxy then leaves the split (design page)
 	step        = 1.1  // of the total, each period without overload (design page)
@@ -38,7 +38,6 @@
 	channelPart = 0.5  // of the channel's limit that ordinary orders may fill (design page)
 	urgentPart  = 0.9  // and drains, which must not wait behind them
 
-	beat      = 1.0  // judging tasks: half a period, so that a dead task is not met for a whole one
 	fewest    = 4.0  // tries that make a judgement; fewer are chance
 	failing   = 0.4  // share of failed tries that is no longer a busy task's refusals
 	lateShare = 0.4  // of the response target: a mean above it leaves no room for the slow answers
@@ -46,7 +45,7 @@
 	hotTo     = 0.5  // and below which they stop; the gap keeps tables from flapping
 	easeCut   = 0.8  // of a line's weight that is left when its task answers badly
 	easeStep  = 0.1  // regained a period, as the total does
-	cutEvery  = 3.0  // s between cuts: reports trail by more than a beat, and would tell of the old weight
+	cutEvery  = 3.0  // s between cuts: reports trail by more than a period, and would tell of the old weight
 	leastEase = 0.1  // of the listed weight, for a task on trial: some tries, little harm
 )
 
@@ -103,21 +102,21 @@
 
 // Assigner is one instance. It shares nothing with others.
 type Assigner struct {
-	cfg                  Settings
-	now                  float64
-	nextBeat, nextPeriod float64
-	rng                  *rand.Rand
-	out                  []Order
-	busy                 []actor // whose inboxes are to be emptied, one entry a note
-	tasks                map[string]*task
-	fleet                []*task // in the order first listed
-	crowd                []*proxy
-	zones                []*zone
-	kinds, byValue       []*reqKind
-	groups               []*tableGroup
-	split                *split
-	desk                 *desk
-	rings                int
+	cfg            Settings
+	now            float64
+	nextBeat       float64
+	rng            *rand.Rand
+	out            []Order
+	busy           []actor // whose inboxes are to be emptied, one entry a note
+	tasks          map[string]*task
+	fleet          []*task // in the order first listed
+	crowd          []*proxy
+	zones          []*zone
+	kinds, byValue []*reqKind
+	groups         []*tableGroup
+	split          *split
+	desk           *desk
+	rings          int
 }
 
 func (a *Assigner) num(name string, def float64) float64 {
@@ -165,8 +164,8 @@
 func (a *Assigner) Handle(now float64, events []Event) []Order {
 	a.out, a.now = nil, now
 	if a.nextBeat == 0 {
-		a.nextBeat, a.nextPeriod = now+beat, now+period
-		a.ring(beat)
+		a.nextBeat = now + period
+		a.ring(period)
 		if a.text("list.mode") == "on_request" {
 			a.out = append(a.out, Follow{true})
 		}
@@ -176,15 +175,12 @@
 	}
 	a.run()
 	if now >= a.nextBeat-1e-9 {
-		a.nextBeat = now + beat
-		a.ring(beat)
+		a.nextBeat = now + period
+		a.ring(period)
 		for _, t := range a.fleet {
 			a.post(t, beatNote{})
 		}
-		if now >= a.nextPeriod-1e-9 {
-			a.nextPeriod = now + period
-			a.post(a.split, beatNote{})
-		}
+		a.post(a.split, beatNote{})
 		a.post(a.desk, lookNote{})
 	}
 	a.run()
@@ -228,11 +224,11 @@
 		if t := a.tasks[e.Task]; t != nil {
 			a.post(t, e)
 		}
-	case Used:
-		a.post(a.proxy(e.Proxy), e)
 	case Joined:
 		a.post(a.proxy(e.Proxy), e)
 		a.post(a.desk, lookNote{a.proxy(e.Proxy)})
+	case Used:
+		a.post(a.proxy(e.Proxy), e)
 	case Left:
 		a.post(a.proxy(e.Proxy), e)
 	case Applied:
@@ -271,26 +267,16 @@
 			a.post(t, goneNote{})
 		}
 	}
-	a.run()
-	for _, z := range a.zones {
-		z.now = 0
-	}
-	for _, t := range a.fleet {
-		if z := a.zone(t.zone); t.state == Ready {
-			z.now += t.size
-			z.most = math.Max(z.most, z.now)
-		}
-	}
 }
 
 // ---- zones
 
 // zone remembers the most listed weight seen in a zone, against which what is left is measured.
 type zone struct {
-	name      string
-	now, most float64
-	hot       bool // its tasks are nearly full: its tables must count what its proxies bring
-	plans     map[*tableGroup]*plan
+	name  string
+	most  float64
+	hot   bool // its tasks are nearly full: its tables must count what its proxies bring
+	plans map[*tableGroup]*plan
 	// Standing tables that hold only its tasks, or any, may stay: 0, need care: 1, and a rule waits for it: 2.
 	care map[bool]int
 }
@@ -305,13 +291,26 @@
 	return a.zones[len(a.zones)-1]
 }
 
-func (z *zone) gauge(a *Assigner) {
+// look works out what the tables of the zone's proxies are decided by.
+func (z *zone) look(a *Assigner) {
 	busy, size := 0.0, 0.0
+	z.plans, z.care = map[*tableGroup]*plan{}, map[bool]int{}
 	for _, t := range a.fleet {
+		v, care := t.view(a, z.name), 0
 		if t.zone == z.name && t.state == Ready {
-			busy, size = busy+t.view(a, z.name).busy*t.size, size+t.size
+			busy, size = busy+v.busy*t.size, size+t.size
+		}
+		if t.state != Ready || t.warm(a) < 1 {
+			care = 2
+		} else if v.ease < 1 {
+			care = 1
+		}
+		z.care[false] = max(z.care[false], care)
+		if t.zone == z.name {
+			z.care[true] = max(z.care[true], care)
 		}
 	}
+	z.most = math.Max(z.most, size)
 	z.hot = size > 0 && (busy > hotFrom*size || z.hot && busy > hotTo*size)
 }
 
@@ -344,6 +343,8 @@
 	size     float64
 	state    State
 	started  float64
+	dropped  bool    // the list calls it gone, which does not bind
+	answered float64 // when a good answer was last told of
 	views    []*view
 }
 
@@ -359,24 +360,6 @@
 
 func (v *view) bad() bool { return v.late || v.fails >= failing }
 
-// plan makes what the tables of the zone's proxies are decided by.
-func (z *zone) look(a *Assigner) {
-	z.plans, z.care = map[*tableGroup]*plan{}, map[bool]int{}
-	for _, t := range a.fleet {
-		if t.part(a, z.name) == 1 {
-			continue
-		}
-		c := 1
-		if t.state != Ready || t.warm(a) < 1 {
-			c = 2
-		}
-		z.care[false] = max(z.care[false], c)
-		if t.zone == z.name {
-			z.care[true] = max(z.care[true], c)
-		}
-	}
-}
-
 func (t *task) view(a *Assigner, zone string) *view {
 	for _, v := range t.views {
 		if v.zone == zone {
@@ -414,15 +397,24 @@
 func (t *task) take(a *Assigner, n note) {
 	switch n := n.(type) {
 	case Entry:
+		if n.State == Gone {
+			a.post(t, goneNote{})
+			return
+		}
 		if n.Started > 0 && n.Started != t.started {
 			t.views = nil // a new process: what the former one did says nothing of it
 		}
-		t.zone, t.size, t.state, t.started = n.Zone, n.Size, n.State, n.Started
-		if t.size <= 0 {
+		t.zone, t.size, t.state, t.started, t.dropped = n.Zone, n.Size, n.State, n.Started, false
+		if a.zone(t.zone); t.size <= 0 {
 			t.size = 1
 		}
 	case goneNote:
-		t.state = Gone
+		// Where only a drain binds, a list that drops tasks is one source among two: what still answers stays.
+		// Else a list gone wrong takes the fleet. It harms a little where a dead task's last answers come late.
+		open, _ := a.cfg["gone.open"].(bool)
+		if t.dropped = t.dropped || open && t.state == Ready; !t.dropped || a.now-t.answered > unheard {
+			t.state = Gone
+		}
 	case Met:
 		v := t.view(a, n.Zone)
 		cols, _ := a.cfg["load.columns"].([]string)
@@ -431,7 +423,15 @@
 		}
 		v.tries, v.failed = v.tries+float64(n.Tries), v.failed+float64(n.Failed)
 		v.sum += n.Mean * float64(n.Tries-n.Failed)
+		if n.Tries > n.Failed {
+			if t.answered = a.now; t.dropped {
+				t.state = Ready
+			}
+		}
 	case beatNote:
+		if t.dropped {
+			a.post(t, goneNote{})
+		}
 		for _, v := range t.views {
 			t.judge(a, v)
 		}
@@ -447,7 +447,7 @@
 	done := v.tries - v.failed
 	mean, mark := v.sum/math.Max(done, 1), a.lateMark()
 	v.fails, v.late = v.failed/v.tries, mean > mark
-	v.well, v.judged = done/math.Max(a.now-v.since, beat)*math.Min(1, math.Max(lateWell, mark/mean)), a.now
+	v.well, v.judged = done/math.Max(a.now-v.since, period)*math.Min(1, math.Max(lateWell, mark/mean)), a.now
 	if !v.bad() && a.now >= v.next {
 		v.ease, v.next = math.Min(1, v.ease+easeStep), a.now+period
 	}
@@ -832,9 +832,6 @@
 		}
 		return
 	}
-	for _, z := range a.zones {
-		z.gauge(a)
-	}
 	for _, k := range a.kinds {
 		k.rate = 0
 	}
@@ -990,8 +987,8 @@
 		a.out = append(a.out, Mark{mark, false})
 	}
 	if len(d.due) > 0 {
-		d.next = a.now + beat/10
-		a.ring(beat / 10)
+		d.next = a.now + period/10
+		a.ring(period / 10)
 	}
 }
 
@@ -1006,5 +1003,5 @@
 	if d.most > 0 && n >= d.most-1 {
 		return false
 	}
-	return urgent || a.now-last >= beat/2 && (d.most == 0 || n < d.most*2/3)
+	return urgent || a.now-last >= period/2 && (d.most == 0 || n < d.most*2/3)
 }
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -330,3 +330,30 @@
 		t.Errorf("%d lines carry %.2f", len(lines), full)
 	}
 }
+
+// Where gone does not bind, a list that drops most tasks takes nothing from the tables while they answer; one
+// that fell silent, or was seen draining, leaves all the same.
+func TestDroppedTasksStayWhileTheyAnswer(t *testing.T) {
+	w := calm(t)
+	w.cfg["gone.open"] = true
+	w.tasks[0].ill, w.tasks[3].State = true, Draining
+	w.step(0.1, Listed{Entries: []Entry{w.tasks[3].Entry}})
+	var l []Entry
+	for _, k := range w.tasks {
+		e := k.Entry
+		e.State = Gone
+		l = append(l, e)
+	}
+	w.step(0.1, Listed{Entries: l})
+	w.pass(12, 0.4)
+	for i, k := range w.tasks {
+		if got, want := w.a.tasks[k.Task].state == Ready, i != 0 && i != 3; got != want {
+			t.Errorf("task %d: in tables: %v", i, got)
+		}
+	}
+	l[3].State, l[3].Started = Ready, w.now-30
+	w.step(0.1, Listed{Entries: l[3:4]})
+	if k := w.a.tasks["t3"]; k.state != Ready || k.dropped {
+		t.Error("a task that the list calls ready again stays out")
+	}
+}
