Count failures as overload only where the task is busy

It should also hold against errors, slow handshakes and cut links; it may harm where tasks turn reqs away unseen while something other than their cores is full.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -116,7 +116,7 @@
 	groups         []*tableGroup
 	split          *split
 	desk           *desk
-	rings          int
+	rings, busyAt  int // where load reports have the busy share; -1: nowhere
 }
 
 func (a *Assigner) num(name string, def float64) float64 {
@@ -140,6 +140,8 @@
 	a := &Assigner{cfg: cfg, rng: rand.New(rand.NewSource(seed)), tasks: map[string]*task{}, split: &split{}}
 	a.desk = &desk{limit: a.num("channel.limit", math.Inf(1)), head: a.num("message.lines", 1),
 		most: int(a.num("messages.limit", 0)), span: a.num("messages.span", 10)}
+	cols, _ := cfg["load.columns"].([]string)
+	a.busyAt = slices.Index(cols, "busy")
 	names, _ := cfg["kind.name"].([]string)
 	for i, n := range names {
 		k := &reqKind{pos: i, name: n, value: at[float64](cfg, "kind.value", i),
@@ -417,8 +419,7 @@
 		}
 	case Met:
 		v := t.view(a, n.Zone)
-		cols, _ := a.cfg["load.columns"].([]string)
-		if i := slices.Index(cols, "busy"); i >= 0 && i < len(n.Load) {
+		if i := a.busyAt; i >= 0 && i < len(n.Load) {
 			v.busy += (n.Load[i] - v.busy) / 2
 		}
 		v.tries, v.failed = v.tries+float64(n.Tries), v.failed+float64(n.Failed)
@@ -889,23 +890,24 @@
 }
 
 // measure sets, raises or clears the total by how the tasks heard of have answered; the tasks that no
-// proxy of ours uses are not counted, since one assigner may never hear of half the list.
+// proxy of ours uses are not counted, since one assigner may never hear of half the list. Tries that fail
+// while the task is not busy are no overload: letting in less would not mend a connection or an error, but
+// leave even fewer good answers to set the next total by, down to nothing.
 func (s *split) measure(a *Assigner, use float64) (over bool) {
-	heard, bad, well, fails, views := 0, 0, 0.0, 0.0, 0.0
+	heard, bad, well, fails, views := 0, 0, 0.0, 0.0, 1e-9
 	for _, t := range a.fleet {
 		seen, ill := 0, 0
 		for _, v := range t.views {
 			if a.now-v.judged <= 2*period && t.state == Ready {
 				seen, views, well, fails = 1, views+1, well+v.well, fails+v.fails
-				if v.bad() {
+				if v.late || v.fails >= failing && (v.busy > hotFrom || a.busyAt < 0) {
 					ill = 1
 				}
 			}
 		}
 		heard, bad = heard+seen, bad+ill
 	}
-	s.fails = fails / math.Max(views, 1)
-	over = heard >= 2 && 2*bad > heard
+	s.fails, over = fails/views, heard >= 2 && 2*bad > heard
 	switch {
 	case over:
 		if s.total == 0 {
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -357,3 +357,20 @@
 		t.Error("a task that the list calls ready again stays out")
 	}
 }
+
+// Tries that fail while the tasks are idle are no overload, however many: a total set by the few good answers
+// would shrink with them, down to nothing.
+func TestFailuresOfIdleTasksSetNoTotal(t *testing.T) {
+	for busy, want := range map[float64]bool{0.4: false, 0.95: true} {
+		w := calm(t)
+		for i := 0; i < 8; i++ {
+			for _, k := range w.tasks {
+				w.step(0.01, Met{Zone: k.Zone, Task: k.Task, Span: 1, Mean: 0.1, Tries: 9, Failed: 6, Load: []float64{busy}})
+			}
+			w.step(0.8)
+		}
+		if got := w.a.split.total > 0; got != want {
+			t.Errorf("busy %.2f: a total is set: %v", busy, got)
+		}
+	}
+}
