Beside cold tasks leave levels room for chance; count failing lines by their good answers

Cause: a grown proxy brings one req a second of a kind; a level of 1.25 times that refused a third of them by chance alone (a fixed level of 1, 2, 3, 5 times the rate let in 60, 80, 90, 99%), and wherever the fleet grew every proxy of the zone held such levels. Told from overload by quick answers beside refusals. Now a level beside cold tasks adds two deviations of a second's reqs; a cold line's part of a table is measured against what a table carries, not against the whole zone; and in what the table carries lines that fail count only by their good answers, with the whole fleet's remainder where nothing warm is left.

It may harm where a surge comes on top of cold lines at proxies with few reqs.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -540,6 +540,9 @@
 		p.own, p.history, p.near, p.level = false, !n.Fresh, true, 0
 		a.zone(p.zone) // a zone may have proxies and no tasks
 		p.laid, p.levels, p.open, p.wrote = make([][]line, len(a.groups)), nil, nil, nil
+		for range a.kinds {
+			p.levels = append(p.levels, noLevel)
+		}
 		p.keys = nil
 		for _, g := range a.groups { // a kind closed in the zone has its standing table elsewhere
 			in := 0
@@ -596,14 +599,15 @@
 type cand struct {
 	line
 	far, cold bool
+	fails     float64
 }
 
 // plan is what a group's tables in a zone are drawn from. It is worked out once a look, not once a proxy:
 // a large fleet would cost the assigner its whole second.
 type plan struct {
-	cands             []cand
-	want, usual, full float64 // to carry; what a whole zone carries; and a table at most
-	room              int     // lines for the zone
+	cands            []cand
+	want, full, left float64 // to carry; what a table carries at most; what is left of the fleet
+	room             int     // lines for the zone
 }
 
 func (z *zone) plan(a *Assigner, g *tableGroup) *plan {
@@ -618,7 +622,7 @@
 		if t.state != Ready || !g.open(t, z.name) {
 			continue
 		}
-		c := cand{line{t, t.size * t.part(a, z.name)}, t.zone != z.name, t.warm(a) < 1}
+		c := cand{line{t, t.size * t.part(a, z.name)}, t.zone != z.name, t.warm(a) < 1, t.view(a, z.name).fails}
 		have += c.w
 		if c.w <= 0 {
 			continue
@@ -639,12 +643,13 @@
 	for _, x := range a.zones {
 		most += x.most
 	}
-	d.usual = most / math.Max(1, float64(len(a.zones)))
+	usual := most / math.Max(1, float64(len(a.zones)))
+	d.left = have / math.Max(most, 1e-9)
 	if near > 0 {
-		if z.most > d.usual/2 { // else the zone is just coming back, and this life saw it never whole
-			d.usual = z.most
+		if z.most > usual/2 { // else the zone is just coming back, and this life saw it never whole
+			usual = z.most
 		}
-		d.want = d.usual * math.Min(1, have/most)
+		d.want = usual * math.Min(1, d.left)
 		if z.hot {
 			d.want = math.Max(d.want, have*z.brings(a))
 		}
@@ -653,12 +658,12 @@
 		}
 	}
 	if thaws { // beside cold tasks there must be warm ones, however ill these look
-		d.want, d.room = math.Max(d.want, d.usual), min(d.room, tableSize-coldAside)
+		d.want, d.room = math.Max(d.want, usual), min(d.room, tableSize-coldAside)
 	}
 	for _, c := range d.cands { // what ten lines carry, where there are more tasks
 		d.full += c.t.size * tableSize / float64(len(d.cands))
 	}
-	d.full = math.Min(d.usual, d.full)
+	d.full = math.Min(usual, d.full)
 	return d
 }
 
@@ -673,30 +678,33 @@
 	cands := slices.Clone(d.cands)
 	key := func(c cand) float64 { return p.keys[c.t.pos] / c.t.size }
 	slices.SortFunc(cands, func(x, y cand) int { return cmp.Compare(key(x), key(y)) })
-	sum, cold := 0.0, 0.0
+	sum, cold, sound := 0.0, 0.0, 0.0
 	for _, far := range []bool{false, true} {
 		for _, c := range cands {
 			fits := !far && len(lines) < d.room || far && len(lines) < tableSize && d.want-sum > c.w/2
 			if c.far != far || !fits {
 				continue
 			}
-			if lines, sum = append(lines, c.line), sum+c.w; c.cold {
+			lines, sum = append(lines, c.line), sum+c.w
+			if sound += c.w * (1 - c.fails); c.cold {
 				cold += c.w
 			}
 		}
 	}
 	// A cold task does not take the part of warm ones that are missing: its part of the table stays
 	// what the full table would give it.
-	top := math.Min(0.9, cold/math.Max(d.usual, 1e-9))
+	top := math.Min(0.9, cold/math.Max(d.full, 1e-9))
 	if warm := sum - cold; warm > 0 && cold > top*sum {
 		for i, l := range lines {
 			if l.t.warm(a) < 1 {
 				lines[i].w *= top / (1 - top) * warm / cold
 			}
 		}
-		sum = warm / (1 - top)
+		sound *= warm / (1 - top) / sum
+	} else if warm == 0 { // all zones come to the same few cold tasks
+		sound = math.Min(sound, d.left*d.full)
 	}
-	return lines, math.Min(1, sum/math.Max(d.full, 1e-9))
+	return lines, math.Min(1, sound/math.Max(d.full, 1e-9))
 }
 
 // orders gives what a proxy's tables lack against what they should hold, the lines that this costs,
@@ -712,7 +720,7 @@
 		want, full := p.draw(a, g)
 		n := len(out)
 		if !p.own {
-			out, p.laid[g.pos], p.levels = append(out, Clear{table}), nil, nil
+			out, p.laid[g.pos] = append(out, Clear{table}), nil
 		}
 		for _, l := range p.laid[g.pos] {
 			if weight(want, l.t) == 0 {
@@ -733,8 +741,8 @@
 		before := len(out)
 		out = p.levelOrders(a, g, table, full, out)
 		for _, o := range out[before:] {
-			l := o.(SetLevel)
-			urgent = urgent || full > 0 && p.levels != nil && l.Amount < p.levels[l.Kinds[0]]/2
+			is := p.levels[o.(SetLevel).Kinds[0]]
+			urgent = urgent || full > 0 && o.(SetLevel).Amount < is/2
 		}
 		if !p.own {
 			b := Bind{Proxy: p.id, Table: table}
@@ -752,14 +760,12 @@
 // and only the kind at the margin is held to what is left. Cold: how much of the usual a table with cold
 // tasks carries; 0 without.
 func (p *proxy) levelOrders(a *Assigner, g *tableGroup, table int, cold float64, out []Order) []Order {
-	if p.level == 0 && p.levels == nil && cold == 0 {
-		return out
-	}
 	left := p.level
 	for _, k := range a.byValue {
-		r, want, is := p.rates[k.pos], noLevel, noLevel
+		r, want, is := p.rates[k.pos], noLevel, p.levels[k.pos]
 		if cold > 0 { // a surge is heard of too late for a cold task, which a few seconds of it push over
-			want = cold * thaw * a.num("fall.multiple", 2) * math.Max(r, p.typical*k.part)
+			x := math.Max(r, p.typical*k.part)
+			want = cold * thaw * a.num("fall.multiple", 2) * (x + 2*math.Sqrt(x))
 		}
 		if p.level > 0 && r > left {
 			want = math.Min(want, left)
@@ -768,11 +774,8 @@
 			want = math.Min(1, want/math.Max(r, 1e-9))
 		}
 		left = math.Max(0, left-r)
-		if p.levels != nil {
-			is = p.levels[k.pos]
-		}
 		if slices.Contains(g.kinds, k.pos) && math.Abs(want-is) > moved*math.Max(want, is) {
-			resend := int(a.num("resend.usual", 0))
+			resend := int(a.num("resenusual", 0))
 			if resend > 1 || p.level > 0 || cold > 0 {
 				resend = 0 // fuel to an overload, a burst on a cold task; and not all may run twice
 			}
@@ -790,9 +793,6 @@
 			g := o.Table % len(a.groups)
 			p.laid[g] = setLine(p.laid[g], line{a.tasks[o.Task], o.Weight})
 		case SetLevel:
-			for p.levels == nil || len(p.levels) < len(a.kinds) {
-				p.levels = append(p.levels, noLevel)
-			}
 			p.levels[o.Kinds[0]] = o.Amount
 		case Bind:
 			p.own = true
