Deal the lines of own tables evenly instead of drawing them

Told from slow tasks by the spread of what tables bring, which the deal itself can count. Now a table takes the tasks that the tables dealt so far bring least for their listed weight, by the proxies' typical rates; a line moves only where another task is dealt three times less, since new connections are dear. It should also hold where the fleet grows or a zone comes back: newcomers get their part of lines at once. It may harm where typical rates mislead, and a very uneven small fleet moves more lines.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -46,6 +46,7 @@
 	easeCut   = 0.8  // of a line's weight that is left when its task answers badly
 	easeStep  = 0.1  // regained a period, as the total does
 	cutEvery  = 3.0  // s between cuts: reports trail by more than a period, and would tell of the old weight
+	steady    = 3.0  // how much more than another a task may be dealt before its line moves
 	leastEase = 0.1  // of the listed weight, for a task on trial: some tries, little harm
 )
 
@@ -175,7 +176,6 @@
 	for _, e := range events {
 		a.sort(e)
 	}
-	a.run()
 	if now >= a.nextBeat-1e-9 {
 		a.nextBeat = now + period
 		a.ring(period)
@@ -258,7 +258,7 @@
 		named[n.Task] = true
 		t := a.tasks[n.Task]
 		if t == nil {
-			t = &task{id: n.Task, pos: len(a.fleet), state: Gone}
+			t = &task{id: n.Task, pos: len(a.fleet), lot: a.rng.ExpFloat64() / math.Max(n.Size, 1e-9), state: Gone}
 			a.tasks[n.Task] = t
 			a.fleet = append(a.fleet, t)
 		}
@@ -319,7 +319,7 @@
 // brings gives the part of all reqs that a zone's proxies bring, as far as this assigner can know:
 // proxies of others are taken to bring as much each as its own do.
 func (z *zone) brings(a *Assigner) float64 {
-	own, all, n, in := 0.0, 0.0, 0.0, 0.0
+	own, all, n, in := 1e-9, 1e-9, 0.0, 1e-9
 	for _, p := range a.crowd {
 		if p.joined {
 			all, n = all+p.rate(), n+1
@@ -328,9 +328,6 @@
 			}
 		}
 	}
-	if all == 0 || in == 0 {
-		return 0
-	}
 	proxies := math.Max(n, a.num("proxies", n))
 	return own / all * n / proxies * math.Max(1, proxies/float64(len(a.zones))/in)
 }
@@ -341,7 +338,8 @@
 type task struct {
 	inbox
 	id, zone string
-	pos      int // in the fleet
+	pos      int     // in the fleet
+	lot      float64 // drawn at random: the order in which equals are dealt
 	size     float64
 	state    State
 	started  float64
@@ -473,11 +471,11 @@
 
 // lateMark is the mean answer time above which a task counts as answering badly.
 func (a *Assigner) lateMark() float64 {
-	sum, n := 0.0, 1e-9
+	mean := 0.0
 	for _, k := range a.kinds {
-		sum, n = sum+k.target*(k.rate+0.01), n+k.rate+0.01
+		mean += k.target * k.part
 	}
-	return lateShare * sum / n
+	return lateShare * mean
 }
 
 // ---- proxies
@@ -518,9 +516,8 @@
 	typical      float64
 	rates        []float64 // by kind
 	heard        float64
-	share, level float64   // level 0: none
-	keys         []float64 // by the task's place in the fleet
-	laid         [][]line  // by group
+	share, level float64  // level 0: none
+	laid         [][]line // by group
 	levels       []float64
 	wrote        []float64 // times of messages
 	open         []sent    // not yet applied
@@ -543,7 +540,6 @@
 		for range a.kinds {
 			p.levels = append(p.levels, noLevel)
 		}
-		p.keys = nil
 		for _, g := range a.groups { // a kind closed in the zone has its standing table elsewhere
 			in := 0
 			for _, t := range a.fleet {
@@ -592,20 +588,20 @@
 func (p *proxy) mustLeave(a *Assigner) (leave, urgent bool) {
 	z := a.zone(p.zone)
 	c := z.care[p.near]
-	return p.history || p.level > 0 || z.hot || c > 0, p.history || c > 1
+	return p.history || p.level > 0 || z.hot || c > 0, !p.own && (p.history || c > 1)
 }
 
 // cand is a task as the tables of one zone may hold it.
 type cand struct {
 	line
-	far, cold bool
-	fails     float64
+	far, cold       bool
+	fails, due, key float64 // due: what the tables dealt so far bring a unit of its weight; key: its place
 }
 
 // plan is what a group's tables in a zone are drawn from. It is worked out once a look, not once a proxy:
 // a large fleet would cost the assigner its whole second.
 type plan struct {
-	cands            []cand
+	cands, at        []*cand // at: by the task's place in the fleet
 	want, full, left float64 // to carry; what a table carries at most; what is left of the fleet
 	room             int     // lines for the zone
 }
@@ -614,15 +610,16 @@
 	if z.plans[g] != nil {
 		return z.plans[g]
 	}
-	d := &plan{want: math.Inf(1), room: tableSize}
+	d := &plan{want: math.Inf(1), room: tableSize, at: make([]*cand, len(a.fleet))}
 	z.plans[g] = d
-	var last []cand
+	var last []*cand
 	have, most, near, thaws := 0.0, 0.0, 0.0, false
 	for _, t := range a.fleet {
 		if t.state != Ready || !g.open(t, z.name) {
 			continue
 		}
-		c := cand{line{t, t.size * t.part(a, z.name)}, t.zone != z.name, t.warm(a) < 1, t.view(a, z.name).fails}
+		w := t.size * t.part(a, z.name)
+		c := &cand{line{t, w}, t.zone != z.name, t.warm(a) < 1, t.view(a, z.name).fails, 0, 0}
 		have += c.w
 		if c.w <= 0 {
 			continue
@@ -662,25 +659,47 @@
 	}
 	for _, c := range d.cands { // what ten lines carry, where there are more tasks
 		d.full += c.t.size * tableSize / float64(len(d.cands))
+		d.at[c.t.pos] = c
+	}
+	for _, p := range a.crowd {
+		if p.own && p.joined {
+			d.deal(p, p.laid[g.pos], 1)
+		}
 	}
 	d.full = math.Min(usual, d.full)
 	return d
 }
 
+// deal adds or takes off what a table brings to its tasks.
+func (d *plan) deal(p *proxy, lines []line, sign float64) {
+	sum := 0.0
+	for _, l := range lines {
+		sum += l.w
+	}
+	for _, l := range lines {
+		if c := d.at[l.t.pos]; c != nil {
+			c.due += sign * p.typical / sum
+		}
+	}
+}
+
 // draw gives the lines of an own table: the zone's tasks first, since crossing zones is charged, then
 // others drawn at listed weights until the table can carry what the zone's tasks usually do. It tells
 // how much of that it then carries.
 func (p *proxy) draw(a *Assigner, g *tableGroup) (lines []line, full float64) {
 	d := a.zone(p.zone).plan(a, g)
-	for len(p.keys) < len(a.fleet) {
-		p.keys = append(p.keys, a.rng.ExpFloat64())
+	d.deal(p, p.laid[g.pos], -1)
+	for _, c := range d.cands { // a line is kept until another is clearly better: a new connection is dear
+		if c.key = c.due; weight(p.laid[g.pos], c.t) > 0 {
+			c.key = c.due/steady - 1e-9
+		}
 	}
-	cands := slices.Clone(d.cands)
-	key := func(c cand) float64 { return p.keys[c.t.pos] / c.t.size }
-	slices.SortFunc(cands, func(x, y cand) int { return cmp.Compare(key(x), key(y)) })
+	slices.SortFunc(d.cands, func(x, y *cand) int {
+		return cmp.Or(cmp.Compare(x.key, y.key), cmp.Compare(x.t.lot, y.t.lot))
+	})
 	sum, cold, sound := 0.0, 0.0, 0.0
 	for _, far := range []bool{false, true} {
-		for _, c := range cands {
+		for _, c := range d.cands {
 			fits := !far && len(lines) < d.room || far && len(lines) < tableSize && d.want-sum > c.w/2
 			if c.far != far || !fits {
 				continue
@@ -691,6 +710,7 @@
 			}
 		}
 	}
+	d.deal(p, lines, 1)
 	// A cold task does not take the part of warm ones that are missing: its part of the table stays
 	// what the full table would give it.
 	top := math.Min(0.9, cold/math.Max(d.full, 1e-9))
@@ -714,7 +734,6 @@
 	if !p.joined || !p.own && !leave || a.num("slices", 0) > 0 {
 		return nil, 0, false
 	}
-	urgent = urgent && !p.own
 	for _, g := range a.groups {
 		table := p.id*len(a.groups) + g.pos
 		want, full := p.draw(a, g)
@@ -745,11 +764,7 @@
 			urgent = urgent || full > 0 && o.(SetLevel).Amount < is/2
 		}
 		if !p.own {
-			b := Bind{Proxy: p.id, Table: table}
-			if len(a.groups) > 1 {
-				b.Kinds = g.kinds
-			}
-			out = append(out, b)
+			out = append(out, Bind{p.id, table, g.kinds})
 		}
 		lines += float64(len(out) - n)
 	}
@@ -775,7 +790,7 @@
 		}
 		left = math.Max(0, left-r)
 		if slices.Contains(g.kinds, k.pos) && math.Abs(want-is) > moved*math.Max(want, is) {
-			resend := int(a.num("resenusual", 0))
+			resend := int(a.num("resend.usual", 0))
 			if resend > 1 || p.level > 0 || cold > 0 {
 				resend = 0 // fuel to an overload, a burst on a cold task; and not all may run twice
 			}
@@ -808,49 +823,38 @@
 	fails float64 // mean share of failed tries at the tasks heard of
 }
 
+// active gives the proxies of the split; the unheard leave it.
 func (s *split) active(a *Assigner) (l []*proxy) {
 	for _, p := range a.crowd {
-		if p.share > 0 && a.now-p.heard <= unheard {
+		if a.now-p.heard > unheard {
+			a.post(p, goneNote{})
+		} else if p.share > 0 {
 			l = append(l, p)
 		}
 	}
 	return l
 }
 
-// admit gives a new proxy an equal share and scales the others down to match.
-func (s *split) admit(a *Assigner, p *proxy) {
-	l := s.active(a)
-	for _, q := range l {
-		a.post(q, levelNote{q.share * (1 - 1/float64(len(l)+1)), q.level})
-	}
-	a.post(p, levelNote{1 / float64(len(l)+1), 0})
-}
-
 func (s *split) take(a *Assigner, n note) {
-	if n, ok := n.(admitNote); ok {
-		if n.p.share == 0 {
-			s.admit(a, n.p)
+	l, use := s.active(a), 0.0
+	if n, ok := n.(admitNote); ok { // a new proxy gets an equal share, the others are scaled down to match
+		if part := 1 / float64(len(l)+1); n.p.share == 0 {
+			for _, q := range l {
+				a.post(q, levelNote{q.share * (1 - part), q.level})
+			}
+			a.post(n.p, levelNote{part, 0})
 		}
 		return
 	}
 	for _, k := range a.kinds {
-		k.rate = 0
-	}
-	use := 0.0
-	for _, p := range a.crowd {
-		if a.now-p.heard > unheard {
-			a.post(p, goneNote{})
-			continue
-		}
-		use += p.rate()
-		for _, k := range a.kinds {
+		k.rate = 1e-6
+		for _, p := range l {
 			k.rate += p.rates[k.pos]
 		}
+		use += k.rate
 	}
 	for _, k := range a.kinds {
-		if use > 0 {
-			k.part = k.rate / use
-		}
+		k.part = k.rate / use
 	}
 	over := s.measure(a, use)
 	for _, t := range a.fleet {
@@ -862,7 +866,6 @@
 	}
 	// An under-user drops to its use, and with no total all are; what that frees goes in equal
 	// pieces to those that use all of theirs.
-	l := s.active(a)
 	shares := make([]float64, len(l))
 	freed, full, sum := 0.0, 0.0, 0.0
 	isFull := func(p *proxy) bool { return s.total > 0 && p.rate() >= fullUse*p.share*s.total }
@@ -873,7 +876,7 @@
 		} else if s.total > 0 {
 			shares[i] = p.rate() / s.total
 			freed += p.share - shares[i]
-		} else if use > 0 {
+		} else {
 			shares[i] = p.rate() / use
 		}
 		shares[i] = math.Max(shares[i], 1e-6)
@@ -953,8 +956,8 @@
 		cost   float64
 		urgent bool
 	}
-	var jobs []job // the urgent ones first
-	queued, first := 0.0, 0
+	var jobs, rest []job // the urgent ones first
+	queued := 0.0
 	for _, p := range a.crowd {
 		for _, s := range p.open {
 			queued += s.lines
@@ -962,17 +965,16 @@
 	}
 	for _, p := range d.due {
 		if orders, lines, urgent := p.orders(a); len(orders) > 0 {
-			j := job{p, orders, lines + d.head + 1, urgent}
-			if urgent {
-				jobs, first = slices.Insert(jobs, first, j), first+1
-			} else {
+			if j := (job{p, orders, lines + d.head + 1, urgent}); urgent {
 				jobs = append(jobs, j)
+			} else {
+				rest = append(rest, j)
 			}
 		}
 	}
 	d.due = nil
 	mark := (d.mark + 1) % 65536
-	for _, j := range jobs {
+	for _, j := range append(jobs, rest...) {
 		part := channelPart
 		if j.urgent {
 			part = urgentPart
@@ -997,13 +999,11 @@
 // mayWrite keeps a third of the messages allowed to one proxy for what is urgent.
 func (d *desk) mayWrite(a *Assigner, p *proxy, urgent bool) bool {
 	n, last := 0, math.Inf(-1)
-	for _, at := range p.wrote {
-		if last = at; a.now-at <= d.span {
+	for _, last = range p.wrote {
+		if a.now-last <= d.span {
 			n++
 		}
 	}
-	if d.most > 0 && n >= d.most-1 {
-		return false
-	}
-	return urgent || a.now-last >= period/2 && (d.most == 0 || n < d.most*2/3)
+	spare := d.most == 0 || n < d.most*2/3
+	return urgent && (d.most == 0 || n < d.most-1) || spare && a.now-last >= period/2
 }
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"fmt"
 	"math"
 	"math/rand"
 	"reflect"
@@ -336,8 +337,8 @@
 	if p.typical = 1.5; p.levelOrders(w.a, w.a.groups[1], 0, 1, nil)[0].(SetLevel).Amount < 2 {
 		t.Error("the level beside cold tasks leaves no room for chance")
 	}
-	for _, l := range lines {
-		l.t.view(w.a, "x").fails = 0.9
+	for _, k := range w.a.fleet {
+		k.view(w.a, "x").fails = 0.9
 	}
 	w.a.zone("x").look(w.a)
 	if _, now := p.draw(w.a, w.a.groups[1]); now > full/5 {
@@ -388,3 +389,40 @@
 		}
 	}
 }
+
+// Lines drawn by chance load some tasks half as much again as others: at a fleet near its capacity those fail
+// first. Dealt, each task of a zone gets its listed weight's part, and a later look moves nothing.
+func TestLinesAreDealtEvenly(t *testing.T) {
+	a := New(5, Settings{"proxies": 60.0, "kind.name": []string{"read"}, "kind.target": []float64{1}, "reports.every": 1.0})
+	var ev []Event
+	l := Listed{Whole: true}
+	for i := 0; i < 40; i++ {
+		l.Entries = append(l.Entries, Entry{Zone: "x", Task: fmt.Sprint("t", i), Size: 1 + float64(i%2)})
+	}
+	for i := 0; i < 60; i++ {
+		ev = append(ev, Joined{Proxy: i, Zone: "x", Rate: 2 + float64(i%3)})
+	}
+	a.Handle(1, append([]Event{l}, ev...))
+	brings := map[*task]float64{}
+	for _, p := range a.crowd {
+		sum := 0.0
+		for _, l := range p.laid[0] {
+			sum += l.w
+		}
+		for _, l := range p.laid[0] {
+			brings[l.t] += p.typical * l.w / sum / l.t.size
+		}
+	}
+	least, most := 1e9, 0.0
+	for _, k := range a.fleet {
+		least, most = min(least, brings[k]), max(most, brings[k])
+	}
+	if most > 1.25*least {
+		t.Errorf("tasks are brought %.2f to %.2f a unit of weight", least, most)
+	}
+	for _, o := range a.Handle(2, []Event{Rang{1}}) {
+		if _, ok := o.(SetLine); ok {
+			t.Errorf("%+v moves a line without need", o)
+		}
+	}
+}
