--- a/assign/assign.go
+++ b/assign/assign.go
@@ -10,7 +10,7 @@
 //
 //  1. ease:   a line weighs less than listed while its task is cold, on trial or answers badly alone
 //  2. own:    a proxy leaves its standing table also when that may hold a task needing care, or history
-//  3. fill:   an own table takes its zone's tasks first and others only for what these cannot carry
+//  3. fill:   an own table is dealt its zone's tasks first and others only for what these cannot carry
 //  4. window: orders wait while unapplied lines fill the channel's part; drains and joins pass first
 //  5. thaw:   while its tables hold cold tasks a proxy lets in no more than these bear
 
@@ -33,7 +33,6 @@
 	thaw        = 0.5  // of the fall multiple: proxies bring more before any report tells
 	lateWell    = 0.8  // of late answers that count as well at least: tasks still work while they are late
 	nearFrom    = 4    // ready tasks in a zone at a joining that make its standing table the zone's own
-	coldAside   = 3    // of its lines that are kept for other zones' tasks beside cold ones
 	moved       = 0.1  // smaller moves of a level or weight are not worth a message (design page)
 	channelPart = 0.5  // of the channel's limit that ordinary orders may fill (design page)
 	urgentPart  = 0.9  // and drains, which must not wait behind them
@@ -41,11 +40,12 @@
 	fewest    = 4.0  // tries that make a judgement; fewer are chance
 	failing   = 0.4  // share of failed tries that is no longer a busy task's refusals
 	lateShare = 0.4  // of the response target: a mean above it leaves no room for the slow answers
-	hotFrom   = 0.75 // busy share of a zone's tasks above which its tables count what its proxies bring
+	hotFrom   = 0.75 // busy share of a zone's tasks above which its proxies lean on other zones' tasks
 	hotTo     = 0.5  // and below which they stop; the gap keeps tables from flapping
+	leaning   = 0.6  // of the gap in busy shares that moves a period: reports trail by two or three
 	easeCut   = 0.8  // of a line's weight that is left when its task answers badly
 	easeStep  = 0.1  // regained a period, as the total does
-	cutEvery  = 3.0  // s between cuts: reports trail by more than a period, and would tell of the old weight
+	cutEvery  = 3.0  // s between cuts: for so long reports still tell of the old weight, or the old lean
 	steady    = 3.0  // how much more than another a task may be dealt before its line moves
 	leastEase = 0.1  // of the listed weight, for a task on trial: some tries, little harm
 )
@@ -166,12 +166,8 @@
 // Handle takes a batch of events and returns the orders that answer it.
 func (a *Assigner) Handle(now float64, events []Event) []Order {
 	a.out, a.now = nil, now
-	if a.nextBeat == 0 {
-		a.nextBeat = now + period
-		a.ring(period)
-		if a.text("list.mode") == "on_request" {
-			a.out = append(a.out, Follow{true})
-		}
+	if a.nextBeat == 0 && a.text("list.mode") == "on_request" {
+		a.out = append(a.out, Follow{true})
 	}
 	for _, e := range events {
 		a.sort(e)
@@ -276,9 +272,11 @@
 // zone remembers the most listed weight seen in a zone, against which what is left is measured.
 type zone struct {
 	name  string
-	most  float64
-	hot   bool // its tasks are nearly full: its tables must count what its proxies bring
+	hot   bool // its tasks are nearly full
 	plans map[*tableGroup]*plan
+	// Busy: of its tasks, by size; rate and proxies: of those heard; spill: the part of what they bring that
+	// goes to other zones, and felt: what of that the reports can show.
+	most, size, busy, rate, proxies, spill, felt float64
 	// Standing tables that hold only its tasks, or any, may stay: 0, need care: 1, and a rule waits for it: 2.
 	care map[bool]int
 }
@@ -300,7 +298,7 @@
 	for _, t := range a.fleet {
 		v, care := t.view(a, z.name), 0
 		if t.zone == z.name && t.state == Ready {
-			busy, size = busy+v.busy*t.size, size+t.size
+			busy, size = busy+t.busy*t.size, size+t.size
 		}
 		if t.state != Ready || t.warm(a) < 1 {
 			care = 2
@@ -312,24 +310,29 @@
 			z.care[true] = max(z.care[true], care)
 		}
 	}
-	z.most = math.Max(z.most, size)
-	z.hot = size > 0 && (busy > hotFrom*size || z.hot && busy > hotTo*size)
+	z.most, z.busy, z.size = math.Max(z.most, size), busy/math.Max(size, 1e-9), size
+	z.hot = z.busy > hotFrom || z.hot && z.busy > hotTo
 }
 
-// brings gives the part of all reqs that a zone's proxies bring, as far as this assigner can know:
-// proxies of others are taken to bring as much each as its own do.
-func (z *zone) brings(a *Assigner) float64 {
-	own, all, n, in := 1e-9, 1e-9, 0.0, 1e-9
-	for _, p := range a.crowd {
-		if p.joined {
-			all, n = all+p.rate(), n+1
-			if p.zone == z.name {
-				own, in = own+p.rate(), in+1
-			}
+// lean moves what a zone's own tasks cannot carry to other zones' tasks, a step a period, as surplus moves
+// between proxies: one assigner may not hear of other zones' proxies, but tasks tell how busy all make them.
+// What was moved is felt only periods later; till then it is reckoned with, or it would be moved again.
+func (z *zone) lean(a *Assigner) {
+	far, size := 0.0, 1e-9
+	for _, t := range a.fleet {
+		if w := t.size * t.part(a, z.name); t.zone != z.name && t.busy > 0 {
+			far, size = far+t.busy*w, size+w
 		}
 	}
-	proxies := math.Max(n, a.num("proxies", n))
-	return own / all * n / proxies * math.Max(1, proxies/float64(len(a.zones))/in)
+	unfelt := (z.spill - z.felt) * z.busy / (1 - z.felt)
+	gap := math.Min(z.busy-unfelt-unfelt*z.size/size-easeStep, hotFrom) - far/size // crossing is charged
+	if !z.hot {
+		gap = -easeStep
+	} else if size < leastEase*z.size { // hardly heard of: a line is sent there to find out
+		gap = 0.6 / tableSize / leaning
+	}
+	z.felt += (z.spill - z.felt) * period / cutEvery
+	z.spill = math.Max(0, math.Min(1-1.0/tableSize, z.spill+leaning*gap))
 }
 
 // ---- tasks
@@ -345,6 +348,7 @@
 	started  float64
 	dropped  bool    // the list calls it gone, which does not bind
 	answered float64 // when a good answer was last told of
+	busy     float64 // by its own reports, which count all proxies' reqs
 	views    []*view
 }
 
@@ -354,7 +358,6 @@
 	tries, failed, sum, since float64 // not yet judged
 	judged, well, fails       float64 // when; the rate answered well then, and the share of failures
 	late                      bool    // the good answers come late
-	busy                      float64
 	ease, next                float64 // and when it may move again
 }
 
@@ -402,7 +405,7 @@
 			return
 		}
 		if n.Started > 0 && n.Started != t.started {
-			t.views = nil // a new process: what the former one did says nothing of it
+			t.views, t.busy = nil, 0 // a new process: what the former one did says nothing of it
 		}
 		t.zone, t.size, t.state, t.started, t.dropped = n.Zone, n.Size, n.State, n.Started, false
 		if a.zone(t.zone); t.size <= 0 {
@@ -418,7 +421,7 @@
 	case Met:
 		v := t.view(a, n.Zone)
 		if i := a.busyAt; i >= 0 && i < len(n.Load) {
-			v.busy += (n.Load[i] - v.busy) / 2
+			t.busy += (n.Load[i] - t.busy) / 2
 		}
 		v.tries, v.failed = v.tries+float64(n.Tries), v.failed+float64(n.Failed)
 		v.sum += n.Mean * float64(n.Tries-n.Failed)
@@ -453,10 +456,9 @@
 	v.tries, v.failed, v.sum, v.since = 0, 0, 0, a.now
 }
 
-// cut lowers a line whose task answers badly while most do not: a slow machine, a noisy neighbour, a
-// zone with more than it can carry. One that fails and answers late is overloaded, and taking all from
-// it would push the next one over; one that fails without late answers is ill, silent or cut off, and
-// falls to a trial's weight at once. It would harm where the judging proxies are at fault themselves.
+// cut lowers a line whose task answers badly while most do not: a slow machine, a noisy neighbour. One that
+// fails and answers late is overloaded, and taking all from it would push the next one over; one that fails
+// only is ill, silent or cut off, and goes on trial at once. It harms where the judging proxies are at fault.
 func (t *task) cut(a *Assigner, v *view) {
 	switch {
 	case v.fails >= failing && !v.late && v.fails > 2*a.split.fails:
@@ -492,14 +494,6 @@
 	return 0
 }
 
-func setLine(l []line, n line) []line {
-	l = slices.DeleteFunc(l, func(x line) bool { return x.t == n.t })
-	if n.w > 0 {
-		l = append(l, n)
-	}
-	return l
-}
-
 type sent struct {
 	mark  int
 	lines float64
@@ -550,10 +544,8 @@
 			p.near = p.near && in >= nearFrom
 			p.history = p.history || in < nearFrom-1 && !g.like.shut(p.zone) // a zone going or coming: who knows
 		}
-		if p.rate() == 0 { // until it is heard, it brings what it typically does
-			for i := range p.rates {
-				p.rates[i] = p.typical / float64(len(p.rates))
-			}
+		for i, r := range p.rates { // until it is heard, it brings what it typically does
+			p.rates[i] = cmp.Or(r, p.typical/float64(len(p.rates)))
 		}
 		if p.share == 0 {
 			a.post(a.split, admitNote{p})
@@ -584,13 +576,6 @@
 	}
 }
 
-// mustLeave tells whether the standing table has to go, and whether a rule waits for that.
-func (p *proxy) mustLeave(a *Assigner) (leave, urgent bool) {
-	z := a.zone(p.zone)
-	c := z.care[p.near]
-	return p.history || p.level > 0 || z.hot || c > 0, !p.own && (p.history || c > 1)
-}
-
 // cand is a task as the tables of one zone may hold it.
 type cand struct {
 	line
@@ -601,16 +586,15 @@
 // plan is what a group's tables in a zone are drawn from. It is worked out once a look, not once a proxy:
 // a large fleet would cost the assigner its whole second.
 type plan struct {
-	cands, at        []*cand // at: by the task's place in the fleet
-	want, full, left float64 // to carry; what a table carries at most; what is left of the fleet
-	room             int     // lines for the zone
+	cands, at       []*cand // at: by the task's place in the fleet
+	far, full, left float64 // the far lines' part; what a table carries at most; what is left of the fleet
 }
 
 func (z *zone) plan(a *Assigner, g *tableGroup) *plan {
 	if z.plans[g] != nil {
 		return z.plans[g]
 	}
-	d := &plan{want: math.Inf(1), room: tableSize, at: make([]*cand, len(a.fleet))}
+	d := &plan{far: 1, at: make([]*cand, len(a.fleet))}
 	z.plans[g] = d
 	var last []*cand
 	have, most, near, thaws := 0.0, 0.0, 0.0, false
@@ -637,8 +621,9 @@
 	if len(d.cands) == 0 {
 		d.cands = last // nothing warm anywhere, nothing of the zone: better these than none
 	}
+	heard := 0.0
 	for _, x := range a.zones {
-		most += x.most
+		most, heard = most+x.most, heard+x.proxies
 	}
 	usual := most / math.Max(1, float64(len(a.zones)))
 	d.left = have / math.Max(most, 1e-9)
@@ -646,16 +631,15 @@
 		if z.most > usual/2 { // else the zone is just coming back, and this life saw it never whole
 			usual = z.most
 		}
-		d.want = usual * math.Min(1, d.left)
-		if z.hot {
-			d.want = math.Max(d.want, have*z.brings(a))
+		want := usual
+		if !thaws { // beside cold tasks there must be warm ones, however ill these look
+			want *= math.Min(1, d.left)
 		}
-		if d.want > near && d.want*float64(len(d.cands)) > tableSize*have { // it cannot carry all
-			d.room = int(math.Ceil(tableSize * near / d.want))
+		if z.hot { // what it brings, as far as known: proxies not heard bring as much each as those heard
+			all := math.Max(heard, a.num("proxies", 0))
+			want = math.Max(want, have*z.rate*heard/all*math.Max(1, all/float64(len(a.zones))/z.proxies))
 		}
-	}
-	if thaws { // beside cold tasks there must be warm ones, however ill these look
-		d.want, d.room = math.Max(d.want, usual), min(d.room, tableSize-coldAside)
+		d.far = math.Max(z.spill, 1-near/want)
 	}
 	for _, c := range d.cands { // what ten lines carry, where there are more tasks
 		d.full += c.t.size * tableSize / float64(len(d.cands))
@@ -685,7 +669,7 @@
 
 // draw gives the lines of an own table: the zone's tasks first, since crossing zones is charged, then
 // others drawn at listed weights until the table can carry what the zone's tasks usually do. It tells
-// how much of that it then carries.
+// how much of that a table with cold tasks carries; 0 without.
 func (p *proxy) draw(a *Assigner, g *tableGroup) (lines []line, full float64) {
 	d := a.zone(p.zone).plan(a, g)
 	d.deal(p, p.laid[g.pos], -1)
@@ -697,84 +681,91 @@
 	slices.SortFunc(d.cands, func(x, y *cand) int {
 		return cmp.Or(cmp.Compare(x.key, y.key), cmp.Compare(x.t.lot, y.t.lot))
 	})
-	sum, cold, sound := 0.0, 0.0, 0.0
-	for _, far := range []bool{false, true} {
+	far := min(int(math.Round(d.far*tableSize)), tableSize-1) // a zone that has any task keeps a line
+	cold, sound := 0.0, 0.0
+	pick := func(far bool, n int) (sum, listed float64) {
 		for _, c := range d.cands {
-			fits := !far && len(lines) < d.room || far && len(lines) < tableSize && d.want-sum > c.w/2
-			if c.far != far || !fits {
+			if c.far != far || n <= 0 {
 				continue
 			}
-			lines, sum = append(lines, c.line), sum+c.w
-			if sound += c.w * (1 - c.fails); c.cold {
+			lines, n, sum, listed = append(lines, c.line), n-1, sum+c.w, listed+c.t.size
+			if c.cold {
 				cold += c.w
+			} else {
+				sound += c.w * (1 - c.fails)
 			}
 		}
+		return sum, listed
+	}
+	sum, _ := pick(false, tableSize-far)
+	near := len(lines)
+	rest, listed := pick(true, far)
+	if sum > 0 && rest > 0 { // the far lines get the far part, however few there are
+		scale := sum / listed * d.far / (1 - d.far)
+		for i := range lines[near:] {
+			lines[near+i].w *= scale
+		}
+		rest *= scale
 	}
 	d.deal(p, lines, 1)
 	// A cold task does not take the part of warm ones that are missing: its part of the table stays
 	// what the full table would give it.
 	top := math.Min(0.9, cold/math.Max(d.full, 1e-9))
-	if warm := sum - cold; warm > 0 && cold > top*sum {
+	switch warm := sum + rest - cold; {
+	case cold == 0:
+		return lines, 0
+	case warm < 1e-9: // all zones come to the same few cold tasks
+		return lines, math.Min(d.left, top)
+	case cold > top*(sum+rest):
 		for i, l := range lines {
 			if l.t.warm(a) < 1 {
 				lines[i].w *= top / (1 - top) * warm / cold
 			}
 		}
-		sound *= warm / (1 - top) / sum
-	} else if warm == 0 { // all zones come to the same few cold tasks
-		sound = math.Min(sound, d.left*d.full)
 	}
-	return lines, math.Min(1, sound/math.Max(d.full, 1e-9))
+	return lines, math.Min(1, sound/(1-top)/math.Max(d.full, 1e-9))
 }
 
-// orders gives what a proxy's tables lack against what they should hold, the lines that this costs,
-// and whether a rule waits for it.
-func (p *proxy) orders(a *Assigner) (out []Order, lines float64, urgent bool) {
-	leave, urgent := p.mustLeave(a)
-	if !p.joined || !p.own && !leave || a.num("slices", 0) > 0 {
-		return nil, 0, false
+// orders gives what a proxy's tables lack against what they should hold, and whether a rule waits for it.
+func (p *proxy) orders(a *Assigner) (out []Order, urgent bool) {
+	z := a.zone(p.zone)
+	care := z.care[p.near] // of its standing table, which has to go at the first trouble
+	if !p.joined || !p.own && !p.history && p.level == 0 && !z.hot && care == 0 || a.num("slices", 0) > 0 {
+		return nil, false
 	}
+	urgent = !p.own && (p.history || care > 1)
 	for _, g := range a.groups {
 		table := p.id*len(a.groups) + g.pos
-		want, full := p.draw(a, g)
-		n := len(out)
+		want, cold := p.draw(a, g)
 		if !p.own {
 			out, p.laid[g.pos] = append(out, Clear{table}), nil
 		}
 		for _, l := range p.laid[g.pos] {
 			if weight(want, l.t) == 0 {
-				out = append(out, SetLine{table, l.t.id, 0})
-				urgent = urgent || l.t.state != Ready || l.t.warm(a) < 1
+				want = append(want, line{l.t, 0})
 			}
 		}
 		for _, l := range want {
-			w := weight(p.laid[g.pos], l.t)
-			if math.Abs(w-l.w) > moved*math.Max(w, l.w) {
+			if w := weight(p.laid[g.pos], l.t); math.Abs(w-l.w) > moved*math.Max(w, l.w) {
 				out = append(out, SetLine{table, l.t.id, l.w})
-				urgent = urgent || w > l.w && l.t.warm(a) < 1
+				urgent = urgent || w > l.w && (l.t.state != Ready || l.t.warm(a) < 1)
 			}
 		}
-		if !slices.ContainsFunc(want, func(l line) bool { return l.t.warm(a) < 1 }) {
-			full = 0
-		}
-		before := len(out)
-		out = p.levelOrders(a, g, table, full, out)
-		for _, o := range out[before:] {
-			is := p.levels[o.(SetLevel).Kinds[0]]
-			urgent = urgent || full > 0 && o.(SetLevel).Amount < is/2
+		for _, o := range p.levelOrders(a, g, table, cold) {
+			out = append(out, o)
+			urgent = urgent || cold > 0 && o.Amount < p.levels[o.Kinds[0]]/2
 		}
 		if !p.own {
 			out = append(out, Bind{p.id, table, g.kinds})
 		}
-		lines += float64(len(out) - n)
 	}
-	return out, lines, urgent
+	return out, urgent
 }
 
 // levelOrders sheds the lowest value first: the dearer kinds take their use from the proxy's level,
 // and only the kind at the margin is held to what is left. Cold: how much of the usual a table with cold
 // tasks carries; 0 without.
-func (p *proxy) levelOrders(a *Assigner, g *tableGroup, table int, cold float64, out []Order) []Order {
+func (p *proxy) levelOrders(a *Assigner, g *tableGroup, table int, cold float64) (out []SetLevel) {
 	left := p.level
 	for _, k := range a.byValue {
 		r, want, is := p.rates[k.pos], noLevel, p.levels[k.pos]
@@ -805,8 +796,11 @@
 	for _, o := range out {
 		switch o := o.(type) {
 		case SetLine:
-			g := o.Table % len(a.groups)
-			p.laid[g] = setLine(p.laid[g], line{a.tasks[o.Task], o.Weight})
+			l := &p.laid[o.Table%len(a.groups)]
+			*l = slices.DeleteFunc(*l, func(x line) bool { return x.t.id == o.Task })
+			if o.Weight > 0 {
+				*l = append(*l, line{a.tasks[o.Task], o.Weight})
+			}
 		case SetLevel:
 			p.levels[o.Kinds[0]] = o.Amount
 		case Bind:
@@ -856,6 +850,16 @@
 	for _, k := range a.kinds {
 		k.part = k.rate / use
 	}
+	for _, z := range a.zones {
+		z.rate, z.proxies = 0, 1e-9
+		for _, p := range l {
+			if p.zone == z.name {
+				z.rate, z.proxies = z.rate+p.rate()/use, z.proxies+1
+			}
+		}
+		z.look(a)
+		z.lean(a)
+	}
 	over := s.measure(a, use)
 	for _, t := range a.fleet {
 		for _, v := range t.views {
@@ -866,36 +870,31 @@
 	}
 	// An under-user drops to its use, and with no total all are; what that frees goes in equal
 	// pieces to those that use all of theirs.
-	shares := make([]float64, len(l))
-	freed, full, sum := 0.0, 0.0, 0.0
 	isFull := func(p *proxy) bool { return s.total > 0 && p.rate() >= fullUse*p.share*s.total }
-	for i, p := range l {
-		shares[i] = p.share
+	uses := func(p *proxy) float64 { return math.Max(p.rate()/cmp.Or(s.total, use), 1e-6) }
+	freed, full, left := 0.0, 0.0, 0.0
+	for _, p := range l {
 		if isFull(p) {
-			full++
-		} else if s.total > 0 {
-			shares[i] = p.rate() / s.total
-			freed += p.share - shares[i]
+			full, left = full+1, left+p.share
 		} else {
-			shares[i] = p.rate() / use
+			freed, left = freed+p.share-uses(p), left+uses(p)
 		}
-		shares[i] = math.Max(shares[i], 1e-6)
 	}
-	for i, p := range l {
+	if full > 0 {
+		left += freed
+	}
+	for _, p := range l {
+		share := uses(p) / left
 		if isFull(p) {
-			shares[i] += freed / full
+			share = (p.share + freed/full) / left
 		}
-		sum += shares[i]
-	}
-	for i, p := range l {
-		a.post(p, levelNote{shares[i] / sum, shares[i] / sum * s.total})
+		a.post(p, levelNote{share, share * s.total})
 	}
 }
 
-// measure sets, raises or clears the total by how the tasks heard of have answered; the tasks that no
-// proxy of ours uses are not counted, since one assigner may never hear of half the list. Tries that fail
-// while the task is not busy are no overload: letting in less would not mend a connection or an error, but
-// leave even fewer good answers to set the next total by, down to nothing.
+// measure sets, raises or clears the total by how the tasks heard of have answered; one assigner may never
+// hear of half the list. Tries that fail while the task is not busy are no overload: letting in less would
+// not mend a connection or an error, but leave fewer good answers to set the next total by, down to nothing.
 func (s *split) measure(a *Assigner, use float64) (over bool) {
 	heard, bad, well, fails, views := 0, 0, 0.0, 0.0, 1e-9
 	for _, t := range a.fleet {
@@ -903,7 +902,7 @@
 		for _, v := range t.views {
 			if a.now-v.judged <= 2*period && t.state == Ready {
 				seen, views, well, fails = 1, views+1, well+v.well, fails+v.fails
-				if v.late || v.fails >= failing && (v.busy > hotFrom || a.busyAt < 0) {
+				if v.late || v.fails >= failing && (t.busy > hotFrom || a.busyAt < 0) {
 					ill = 1
 				}
 			}
@@ -954,7 +953,6 @@
 		p      *proxy
 		orders []Order
 		cost   float64
-		urgent bool
 	}
 	var jobs, rest []job // the urgent ones first
 	queued := 0.0
@@ -964,8 +962,8 @@
 		}
 	}
 	for _, p := range d.due {
-		if orders, lines, urgent := p.orders(a); len(orders) > 0 {
-			if j := (job{p, orders, lines + d.head + 1, urgent}); urgent {
+		if orders, urgent := p.orders(a); len(orders) > 0 {
+			if j := (job{p, orders, float64(len(orders)) + d.head + 1}); urgent {
 				jobs = append(jobs, j)
 			} else {
 				rest = append(rest, j)
@@ -974,12 +972,12 @@
 	}
 	d.due = nil
 	mark := (d.mark + 1) % 65536
-	for _, j := range append(jobs, rest...) {
-		part := channelPart
-		if j.urgent {
+	for i, j := range append(jobs, rest...) {
+		part, urgent := channelPart, i < len(jobs)
+		if urgent {
 			part = urgentPart
 		}
-		if queued+j.cost > part*d.limit || !d.mayWrite(a, j.p, j.urgent) {
+		if queued+j.cost > part*d.limit || !d.mayWrite(a, j.p, urgent) {
 			d.due = append(d.due, j.p)
 			continue
 		}
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -334,7 +334,7 @@
 	}
 	// A rate of one req a second or two is mostly chance: a level close to it would refuse a third of them.
 	p.rates = []float64{0.5, 0.5, 0.5}
-	if p.typical = 1.5; p.levelOrders(w.a, w.a.groups[1], 0, 1, nil)[0].(SetLevel).Amount < 2 {
+	if p.typical = 1.5; p.levelOrders(w.a, w.a.groups[1], 0, 1)[0].Amount < 2 {
 		t.Error("the level beside cold tasks leaves no room for chance")
 	}
 	for _, k := range w.a.fleet {
@@ -426,3 +426,36 @@
 		}
 	}
 }
+
+// One assigner hears only its own zone's proxies. When the zone's tasks are full and others are not, part of what
+// its proxies bring goes there, as much as evens them out and no more, though reports trail by seconds.
+func TestHotZoneLeansOnOthers(t *testing.T) {
+	w := calm(t)
+	z, brings, late := w.a.zone("x"), 1.6, []float64{0, 0, 0, 0}
+	for i := 0; i < 60; i++ {
+		late = append(late, z.spill)
+		was := late[len(late)-4]
+		for _, k := range w.a.fleet {
+			if k.busy = 0.4 + brings*was/2; k.zone == "x" {
+				k.busy = min(1, brings*(1-was))
+			}
+		}
+		z.look(w.a)
+		z.lean(w.a)
+	}
+	for _, s := range late[20:] {
+		if near, far := brings*(1-s), 0.4+brings*s/2; near > 0.99 || near < far-0.05 {
+			t.Fatalf("the zone's tasks are %.2f busy and the others %.2f: %v", near, far, late)
+		}
+	}
+	for _, k := range w.a.fleet {
+		k.busy = 0.3
+	}
+	for i := 0; i < 20; i++ {
+		z.look(w.a)
+		z.lean(w.a)
+	}
+	if z.spill > 0 {
+		t.Errorf("an idle zone still sends %.2f of its reqs to others", z.spill)
+	}
+}
