--- a/assign/assign.go
+++ b/assign/assign.go
@@ -530,10 +530,8 @@
 		p.joined, p.zone, p.typical, p.heard = true, n.Zone, n.Rate, a.now
 		p.own, p.history, p.near, p.level = false, !n.Fresh, true, 0
 		a.zone(p.zone) // a zone may have proxies and no tasks
-		p.laid, p.levels, p.open, p.wrote = make([][]line, len(a.groups)), nil, nil, nil
-		for range a.kinds {
-			p.levels = append(p.levels, noLevel)
-		}
+		p.laid, p.open, p.wrote = make([][]line, len(a.groups)), nil, nil
+		p.levels = slices.Repeat([]float64{noLevel}, len(a.kinds))
 		for _, g := range a.groups { // a kind closed in the zone has its standing table elsewhere
 			in := 0
 			for _, t := range a.fleet {
@@ -950,11 +948,11 @@
 		z.look(a)
 	}
 	type job struct {
-		p      *proxy
-		orders []Order
-		cost   float64
+		p          *proxy
+		orders     []Order
+		cost, part float64
 	}
-	var jobs, rest []job // the urgent ones first
+	var jobs []job
 	queued := 0.0
 	for _, p := range a.crowd {
 		for _, s := range p.open {
@@ -963,21 +961,17 @@
 	}
 	for _, p := range d.due {
 		if orders, urgent := p.orders(a); len(orders) > 0 {
-			if j := (job{p, orders, float64(len(orders)) + d.head + 1}); urgent {
-				jobs = append(jobs, j)
-			} else {
-				rest = append(rest, j)
+			jobs = append(jobs, job{p, orders, float64(len(orders)) + d.head + 1, channelPart})
+			if urgent {
+				jobs[len(jobs)-1].part = urgentPart
 			}
 		}
 	}
+	slices.SortStableFunc(jobs, func(x, y job) int { return cmp.Compare(y.part, x.part) })
 	d.due = nil
 	mark := (d.mark + 1) % 65536
-	for i, j := range append(jobs, rest...) {
-		part, urgent := channelPart, i < len(jobs)
-		if urgent {
-			part = urgentPart
-		}
-		if queued+j.cost > part*d.limit || !d.mayWrite(a, j.p, urgent) {
+	for _, j := range jobs {
+		if queued+j.cost > j.part*d.limit || !d.mayWrite(a, j.p, j.part > channelPart) {
 			d.due = append(d.due, j.p)
 			continue
 		}
