Keep cold tasks out of tables whose warm ones mostly fail

Cause: connections were scarce, nine tries in ten at the warm tasks failed, and proxies keep away from what failed them three times; all they let in went to the one line that still answered. Told from tables that hold too much by the tap (the parts were right) and from a surge by the rates. Change: a zone whose warm tasks fail more than half of their tries gets no cold lines while it has others; what was not met lately counts as failing like the rest. It should hold for any wide failure beside restarts (errors, cut links, full waiting rooms); it may keep returning tasks out until warm when an overload refuses more than half.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -273,6 +273,7 @@
 type zone struct {
 	name  string
 	hot   bool // its tasks are nearly full
+	shaky bool // most warm tasks fail its proxies, which then keep away from them and press on the rest
 	plans map[*tableGroup]*plan
 	// Busy: of its tasks, by size; rate and proxies: of those heard; spill: the part of what they bring that
 	// goes to other zones, and felt: what of that the reports can show.
@@ -293,7 +294,7 @@
 
 // look works out what the tables of the zone's proxies are decided by.
 func (z *zone) look(a *Assigner) {
-	busy, size := 0.0, 0.0
+	busy, size, sound, warm := 0.0, 0.0, 0.0, 0.0
 	z.plans, z.care = map[*tableGroup]*plan{}, map[bool]int{}
 	for _, t := range a.fleet {
 		v, care := t.view(a, z.name), 0
@@ -302,7 +303,7 @@
 		}
 		if t.state != Ready || t.warm(a) < 1 {
 			care = 2
-		} else if v.ease < 1 {
+		} else if sound, warm = sound+t.size*(1-v.failing(a)), warm+t.size; v.ease < 1 {
 			care = 1
 		}
 		z.care[false] = max(z.care[false], care)
@@ -311,6 +312,7 @@
 		}
 	}
 	z.most, z.busy, z.size = math.Max(z.most, size), busy/math.Max(size, 1e-9), size
+	z.shaky = 2*sound < warm
 	z.hot = z.busy > hotFrom || z.hot && z.busy > hotTo
 }
 
@@ -361,6 +363,14 @@
 	ease, next                float64 // and when it may move again
 }
 
+// failing is the share of failed tries to reckon with: what was not met lately fails as the others do.
+func (v *view) failing(a *Assigner) float64 {
+	if a.now-v.judged > unheard {
+		return a.split.fails
+	}
+	return v.fails
+}
+
 func (v *view) bad() bool { return v.late || v.fails >= failing }
 
 func (t *task) view(a *Assigner, zone string) *view {
@@ -407,10 +417,9 @@
 		if n.Started > 0 && n.Started != t.started {
 			t.views, t.busy = nil, 0 // a new process: what the former one did says nothing of it
 		}
-		t.zone, t.size, t.state, t.started, t.dropped = n.Zone, n.Size, n.State, n.Started, false
-		if a.zone(t.zone); t.size <= 0 {
-			t.size = 1
-		}
+		t.zone, t.state, t.started, t.dropped = n.Zone, n.State, n.Started, false
+		t.size = cmp.Or(math.Max(n.Size, 0), 1)
+		a.zone(t.zone)
 	case goneNote:
 		// Where only a drain binds, a list that drops tasks is one source among two: what still answers stays.
 		// Else a list gone wrong takes the fleet. It harms a little where a dead task's last answers come late.
@@ -597,16 +606,13 @@
 	var last []*cand
 	have, most, near, thaws := 0.0, 0.0, 0.0, false
 	for _, t := range a.fleet {
-		if t.state != Ready || !g.open(t, z.name) {
-			continue
-		}
 		w := t.size * t.part(a, z.name)
-		c := &cand{line{t, w}, t.zone != z.name, t.warm(a) < 1, t.view(a, z.name).fails, 0, 0}
-		have += c.w
-		if c.w <= 0 {
+		if w <= 0 || !g.open(t, z.name) {
 			continue
 		}
-		if c.far && c.cold && !g.like.shut(z.name) {
+		c := &cand{line{t, w}, t.zone != z.name, t.warm(a) < 1, t.view(a, z.name).failing(a), 0, 0}
+		have += c.w
+		if c.cold && (z.shaky || c.far && !g.like.shut(z.name)) {
 			last = append(last, c) // its own zone's proxies warm it: they know what they bring there
 			continue
 		}
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand"
 	"reflect"
+	"slices"
 	"testing"
 	"testing/quick"
 )
@@ -459,3 +460,25 @@
 		t.Errorf("an idle zone still sends %.2f of its reqs to others", z.spill)
 	}
 }
+
+// Proxies keep away from tasks that fail them: where most warm ones do, all would press on the few cold ones.
+func TestColdTasksStayOutWhereWarmOnesFail(t *testing.T) {
+	for fails, want := range map[float64]bool{0.1: true, 0.8: false} {
+		w := calm(t)
+		var l []Entry
+		for _, k := range w.tasks {
+			if w.a.tasks[k.Task].views = nil; k.Zone == "x" { // back after a loss; the others not met from here
+				k.Started = w.now - 4
+				l = append(l, k.Entry)
+			}
+		}
+		w.step(0.01, Listed{Entries: l})
+		w.a.split.fails = fails
+		w.a.zone("x").look(w.a)
+		lines, _ := w.proxy(0).draw(w.a, w.a.groups[1])
+		cold := slices.ContainsFunc(lines, func(x line) bool { return x.t.warm(w.a) < 1 })
+		if cold != want || len(lines) < 2 {
+			t.Errorf("%.1f fail: cold tasks in %v", fails, lines)
+		}
+	}
+}
