Let strangers of the list earn their lines by tries with a trial's part

Told from a growing fleet by the start: a stranger claims to have run long though no earlier list had it; a newcomer has a start and is eased in as cold. Change: a task that came late to the list, claims to have run long and never answered, or fails and has not answered for ten seconds, gets a trial's part, half by fewer lines, half by lighter ones, till it answers; it does not count as its zone's weight. It may harm where an assigner starts from a list that lacks most tasks: known ones must answer first, a few seconds.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -117,7 +117,7 @@
 	groups         []*tableGroup
 	split          *split
 	desk           *desk
-	rings, busyAt  int // where load reports have the busy share; -1: nowhere
+	busyAt         int // where load reports have the busy share; -1: nowhere
 }
 
 func (a *Assigner) num(name string, def float64) float64 {
@@ -174,7 +174,7 @@
 	}
 	if now >= a.nextBeat-1e-9 {
 		a.nextBeat = now + period
-		a.ring(period)
+		a.out = append(a.out, After{In: period})
 		for _, t := range a.fleet {
 			a.post(t, beatNote{})
 		}
@@ -189,11 +189,6 @@
 	return a.out
 }
 
-func (a *Assigner) ring(in float64) {
-	a.rings++
-	a.out = append(a.out, After{in, a.rings % 65536})
-}
-
 func (a *Assigner) logf(f string, v ...any) { a.out = append(a.out, Log{fmt.Sprintf(f, v...)}) }
 
 func (a *Assigner) post(to actor, n note) {
@@ -249,13 +244,15 @@
 		a.out = append(a.out, Follow{true})
 		return
 	}
-	named := map[string]bool{}
+	named, first := map[string]bool{}, len(a.fleet) == 0
 	for _, n := range e.Entries {
 		named[n.Task] = true
 		t := a.tasks[n.Task]
 		if t == nil {
 			t = &task{id: n.Task, pos: len(a.fleet), lot: a.rng.ExpFloat64() / math.Max(n.Size, 1e-9), state: Gone}
-			a.tasks[n.Task] = t
+			if a.tasks[n.Task] = t; first {
+				t.answered = a.now
+			}
 			a.fleet = append(a.fleet, t)
 		}
 		a.post(t, n)
@@ -298,12 +295,12 @@
 	z.plans, z.care = map[*tableGroup]*plan{}, map[bool]int{}
 	for _, t := range a.fleet {
 		v, care := t.view(a, z.name), 0
-		if t.zone == z.name && t.state == Ready {
+		if t.zone == z.name && t.state == Ready && !t.strange(a, z.name) {
 			busy, size = busy+t.busy*t.size, size+t.size
 		}
 		if t.state != Ready || t.warm(a) < 1 {
 			care = 2
-		} else if sound, warm = sound+t.size*(1-v.failing(a)), warm+t.size; v.ease < 1 {
+		} else if sound, warm = sound+t.size*(1-v.fails), warm+t.size; v.ease < 1 {
 			care = 1
 		}
 		z.care[false] = max(z.care[false], care)
@@ -363,14 +360,6 @@
 	ease, next                float64 // and when it may move again
 }
 
-// failing is the share of failed tries to reckon with: what was not met lately fails as the others do.
-func (v *view) failing(a *Assigner) float64 {
-	if a.now-v.judged > unheard {
-		return a.split.fails
-	}
-	return v.fails
-}
-
 func (v *view) bad() bool { return v.late || v.fails >= failing }
 
 func (t *task) view(a *Assigner, zone string) *view {
@@ -407,6 +396,13 @@
 	return math.Min(v.ease, t.warm(a))
 }
 
+// strange tells of a task that came late to the list, claims to have run long and never answered, or fails and
+// has long not answered. The list may be wrong: such a task gets a trial's part, half by fewer lines, half by
+// lighter ones, till it answers. It harms where an assigner starts from a list that lacks most tasks.
+func (t *task) strange(a *Assigner, zone string) bool {
+	return a.now-t.answered > unheard && t.warm(a) == 1 && (t.answered == 0 || t.view(a, zone).fails >= failing)
+}
+
 func (t *task) take(a *Assigner, n note) {
 	switch n := n.(type) {
 	case Entry:
@@ -607,10 +603,13 @@
 	have, most, near, thaws := 0.0, 0.0, 0.0, false
 	for _, t := range a.fleet {
 		w := t.size * t.part(a, z.name)
+		if t.strange(a, z.name) {
+			w = math.Min(w, math.Sqrt(leastEase)*t.size)
+		}
 		if w <= 0 || !g.open(t, z.name) {
 			continue
 		}
-		c := &cand{line{t, w}, t.zone != z.name, t.warm(a) < 1, t.view(a, z.name).failing(a), 0, 0}
+		c := &cand{line{t, w}, t.zone != z.name, t.warm(a) < 1, t.view(a, z.name).fails, 0, 0}
 		have += c.w
 		if c.cold && (z.shaky || c.far && !g.like.shut(z.name)) {
 			last = append(last, c) // its own zone's proxies warm it: they know what they bring there
@@ -678,7 +677,10 @@
 	d := a.zone(p.zone).plan(a, g)
 	d.deal(p, p.laid[g.pos], -1)
 	for _, c := range d.cands { // a line is kept until another is clearly better: a new connection is dear
-		if c.key = c.due; weight(p.laid[g.pos], c.t) > 0 {
+		if c.key = c.due; c.t.strange(a, p.zone) {
+			c.key /= math.Sqrt(leastEase)
+		}
+		if weight(p.laid[g.pos], c.t) > 0 {
 			c.key = c.due/steady - 1e-9
 		}
 	}
@@ -990,18 +992,14 @@
 	}
 	if len(d.due) > 0 {
 		d.next = a.now + period/10
-		a.ring(period / 10)
+		a.out = append(a.out, After{In: period / 10})
 	}
 }
 
 // mayWrite keeps a third of the messages allowed to one proxy for what is urgent.
 func (d *desk) mayWrite(a *Assigner, p *proxy, urgent bool) bool {
-	n, last := 0, math.Inf(-1)
-	for _, last = range p.wrote {
-		if a.now-last <= d.span {
-			n++
-		}
-	}
-	spare := d.most == 0 || n < d.most*2/3
-	return urgent && (d.most == 0 || n < d.most-1) || spare && a.now-last >= period/2
+	i, _ := slices.BinarySearch(p.wrote, a.now-d.span)
+	n, free := len(p.wrote)-i, d.most == 0
+	late := n > 0 && a.now-p.wrote[len(p.wrote)-1] < period/2
+	return urgent && (free || n < d.most-1) || !late && (free || n < d.most*2/3)
 }
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -391,34 +391,46 @@
 	}
 }
 
-// Lines drawn by chance load some tasks half as much again as others: at a fleet near its capacity those fail
-// first. Dealt, each task of a zone gets its listed weight's part, and a later look moves nothing.
-func TestLinesAreDealtEvenly(t *testing.T) {
-	a := New(5, Settings{"proxies": 60.0, "kind.name": []string{"read"}, "kind.target": []float64{1}, "reports.every": 1.0})
-	var ev []Event
-	l := Listed{Whole: true}
-	for i := 0; i < 40; i++ {
-		l.Entries = append(l.Entries, Entry{Zone: "x", Task: fmt.Sprint("t", i), Size: 1 + float64(i%2)})
-	}
+// hall is an assigner with sixty proxies and forty tasks in one zone, all tables its own; brings tells how much
+// each task gets of what the proxies typically bring, for its listed weight.
+func hall() (a *Assigner, brings func() map[*task]float64) {
+	a = New(5, Settings{"proxies": 60.0, "kind.name": []string{"read"}, "kind.target": []float64{1}})
+	ev := []Event{Listed{Whole: true, Entries: entries("t", 40)}}
 	for i := 0; i < 60; i++ {
 		ev = append(ev, Joined{Proxy: i, Zone: "x", Rate: 2 + float64(i%3)})
 	}
-	a.Handle(1, append([]Event{l}, ev...))
-	brings := map[*task]float64{}
-	for _, p := range a.crowd {
-		sum := 0.0
-		for _, l := range p.laid[0] {
-			sum += l.w
-		}
-		for _, l := range p.laid[0] {
-			brings[l.t] += p.typical * l.w / sum / l.t.size
+	a.Handle(1, ev)
+	return a, func() map[*task]float64 {
+		m := map[*task]float64{}
+		for _, p := range a.crowd {
+			sum := 0.0
+			for _, l := range p.laid[0] {
+				sum += l.w
+			}
+			for _, l := range p.laid[0] {
+				m[l.t] += p.typical * l.w / sum / l.t.size
+			}
 		}
+		return m
+	}
+}
+
+func entries(name string, n int) (l []Entry) {
+	for i := 0; i < n; i++ {
+		l = append(l, Entry{Zone: "x", Task: fmt.Sprint(name, i), Size: 1 + float64(i%2)})
 	}
+	return l
+}
+
+// Lines drawn by chance load some tasks half as much again as others: at a fleet near its capacity those fail
+// first. Dealt, each task of a zone gets its listed weight's part, and a later look moves nothing.
+func TestLinesAreDealtEvenly(t *testing.T) {
+	a, brings := hall()
 	least, most := 1e9, 0.0
-	for _, k := range a.fleet {
-		least, most = min(least, brings[k]), max(most, brings[k])
+	for _, x := range brings() {
+		least, most = min(least, x), max(most, x)
 	}
-	if most > 1.25*least {
+	if most > 1.25*least || len(brings()) < 40 {
 		t.Errorf("tasks are brought %.2f to %.2f a unit of weight", least, most)
 	}
 	for _, o := range a.Handle(2, []Event{Rang{1}}) {
@@ -428,6 +440,41 @@
 	}
 }
 
+// A list gone wrong adds strangers that claim to have run long: they get tries, but only a trial's part, until
+// they answer.
+func TestStrangersEarnTheirLines(t *testing.T) {
+	a, brings := hall()
+	now := 20.0
+	a.Handle(now, []Event{Listed{Entries: entries("s", 30)}})
+	part := func() (known, strange float64) {
+		for k, x := range brings() {
+			if k.id[0] == 's' {
+				strange += x / 30
+			} else {
+				known += x / 40
+			}
+		}
+		return
+	}
+	if known, strange := part(); strange == 0 || strange > 2*leastEase*known {
+		t.Errorf("strangers are brought %.3f, others %.3f", strange, known)
+	}
+	var ev []Event
+	for _, e := range entries("s", 30) {
+		ev = append(ev, Met{Zone: "x", Task: e.Task, Span: 1, Tries: 1, Mean: 0.1})
+	}
+	a.Handle(now+1, ev)
+	for i := 2.0; i < 20; i++ {
+		a.Handle(now+i, []Event{Rang{1}})
+		for _, p := range a.crowd {
+			a.Handle(now+i+0.5, []Event{Applied{Proxy: p.id, Mark: a.desk.mark}})
+		}
+	}
+	if known, strange := part(); strange < known/steady {
+		t.Errorf("proven tasks are brought %.3f, others %.3f", strange, known)
+	}
+}
+
 // One assigner hears only its own zone's proxies. When the zone's tasks are full and others are not, part of what
 // its proxies bring goes there, as much as evens them out and no more, though reports trail by seconds.
 func TestHotZoneLeansOnOthers(t *testing.T) {
@@ -473,7 +520,9 @@
 			}
 		}
 		w.step(0.01, Listed{Entries: l})
-		w.a.split.fails = fails
+		for _, k := range w.a.fleet {
+			k.view(w.a, "x").fails = fails
+		}
 		w.a.zone("x").look(w.a)
 		lines, _ := w.proxy(0).draw(w.a, w.a.groups[1])
 		cold := slices.ContainsFunc(lines, func(x line) bool { return x.t.warm(w.a) < 1 })
