--- a/assign/assign.go
+++ b/assign/assign.go
@@ -426,7 +426,7 @@
 	case Met:
 		v := t.view(a, n.Zone)
 		if i := a.busyAt; i >= 0 && i < len(n.Load) {
-			t.busy += (n.Load[i] - t.busy) / 2
+			t.busy = n.Load[i]
 		}
 		v.tries, v.failed = v.tries+float64(n.Tries), v.failed+float64(n.Failed)
 		v.sum += n.Mean * float64(n.Tries-n.Failed)
