Call it overload only where the tasks heard of are busy on the whole

Change: the mean busy share by listed weight must be above hotFrom; it replaces the test of each task alone. Below it lines are cut and zones lean, as for single ill tasks. It also holds for scarce or slow connections and errors. It may harm where something other than cores is full.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -40,7 +40,7 @@
 	fewest    = 4.0  // tries that make a judgement; fewer are chance
 	failing   = 0.4  // share of failed tries that is no longer a busy task's refusals
 	lateShare = 0.4  // of the response target: a mean above it leaves no room for the slow answers
-	hotFrom   = 0.75 // busy share of a zone's tasks above which its proxies lean on other zones' tasks
+	hotFrom   = 0.75 // busy share of a zone's tasks above which its proxies lean on others', of all: an overload
 	hotTo     = 0.5  // and below which they stop; the gap keeps tables from flapping
 	leaning   = 0.6  // of the gap in busy shares that moves a period: reports trail by two or three
 	easeCut   = 0.8  // of a line's weight that is left when its task answers badly
@@ -899,23 +899,26 @@
 }
 
 // measure sets, raises or clears the total by how the tasks heard of have answered; one assigner may never
-// hear of half the list. Tries that fail while the task is not busy are no overload: letting in less would
-// not mend a connection or an error, but leave fewer good answers to set the next total by, down to nothing.
+// hear of half the list. Late and failed answers are no overload while the tasks stay idle on the whole: they
+// come from lines that load some tasks more, from connections or errors, and letting in less would mend none of
+// these, but leave fewer good answers to set the next total by, down to nothing.
 func (s *split) measure(a *Assigner, use float64) (over bool) {
-	heard, bad, well, fails, views := 0, 0, 0.0, 0.0, 1e-9
+	heard, bad, well, fails, views, busy, size := 0, 0, 0.0, 0.0, 1e-9, 0.0, 1e-9
 	for _, t := range a.fleet {
 		seen, ill := 0, 0
 		for _, v := range t.views {
 			if a.now-v.judged <= 2*period && t.state == Ready {
 				seen, views, well, fails = 1, views+1, well+v.well, fails+v.fails
-				if v.late || v.fails >= failing && (t.busy > hotFrom || a.busyAt < 0) {
+				if v.bad() {
 					ill = 1
 				}
 			}
 		}
-		heard, bad = heard+seen, bad+ill
+		if heard, bad = heard+seen, bad+ill; t.state == Ready && t.busy > 0 {
+			busy, size = busy+t.busy*t.size, size+t.size
+		}
 	}
-	s.fails, over = fails/views, heard >= 2 && 2*bad > heard
+	s.fails, over = fails/views, heard >= 2 && 2*bad > heard && (busy > hotFrom*size || a.busyAt < 0)
 	switch {
 	case over:
 		if s.total == 0 {
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -376,12 +376,13 @@
 
 // Tries that fail while the tasks are idle are no overload, however many: a total set by the few good answers
 // would shrink with them, down to nothing.
-func TestFailuresOfIdleTasksSetNoTotal(t *testing.T) {
+func TestIdleTasksSetNoTotal(t *testing.T) {
 	for busy, want := range map[float64]bool{0.4: false, 0.95: true} {
 		w := calm(t)
 		for i := 0; i < 8; i++ {
-			for _, k := range w.tasks {
-				w.step(0.01, Met{Zone: k.Zone, Task: k.Task, Span: 1, Mean: 0.1, Tries: 9, Failed: 6, Load: []float64{busy}})
+			for i, k := range w.tasks { // one is full all the same, and the good answers of all are late
+				load := []float64{math.Max(busy, float64(1-i))}
+				w.step(0.01, Met{Zone: k.Zone, Task: k.Task, Span: 1, Mean: 0.9, Tries: 9, Failed: 6, Load: load})
 			}
 			w.step(0.8)
 		}
