--- a/assign/assign.go
+++ b/assign/assign.go
@@ -899,9 +899,8 @@
 }
 
 // measure sets, raises or clears the total by how the tasks heard of have answered; one assigner may never
-// hear of half the list. Late and failed answers are no overload while the tasks stay idle on the whole: they
-// come from lines that load some tasks more, from connections or errors, and letting in less would mend none of
-// these, but leave fewer good answers to set the next total by, down to nothing.
+// hear of half the list. While they are idle on the whole, late and failed answers come from uneven lines,
+// connections or errors: letting in less mends none of these, but leaves fewer answers to set a total by.
 func (s *split) measure(a *Assigner, use float64) (over bool) {
 	heard, bad, well, fails, views, busy, size := 0, 0, 0.0, 0.0, 1e-9, 0.0, 1e-9
 	for _, t := range a.fleet {
