Set a total only when half of what is let in was told of

Cause: a fresh assigner, or one whose reports are capped and late, has been told of a few tasks only. Told from overload by the tries told of against what the proxies let in. Change: tries at the judged tasks must reach half of the use, or of the total if that is set; it takes the place of 'at least two tasks'. It should hold for any start, report gap or cap; it may delay a true overload where most reports are lost.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -355,7 +355,7 @@
 type view struct {
 	zone                      string
 	tries, failed, sum, since float64 // not yet judged
-	judged, well, fails       float64 // when; the rate answered well then, and the share of failures
+	judged, well, rate, fails float64 // when; rates answered well and tried then, and the share of failures
 	late                      bool    // the good answers come late
 	ease, next                float64 // and when it may move again
 }
@@ -451,10 +451,10 @@
 	if v.tries < fewest/2 || v.tries < fewest && v.ease >= 0.5 {
 		return // a line on trial brings few tries, and most of what there is to learn
 	}
-	done := v.tries - v.failed
-	mean, mark := v.sum/math.Max(done, 1), a.lateMark()
+	mean, mark := v.sum/math.Max(v.tries-v.failed, 1), a.lateMark()
 	v.fails, v.late = v.failed/v.tries, mean > mark
-	v.well, v.judged = done/math.Max(a.now-v.since, period)*math.Min(1, math.Max(lateWell, mark/mean)), a.now
+	v.rate, v.judged = v.tries/math.Max(a.now-v.since, period), a.now
+	v.well = v.rate * (1 - v.fails) * math.Min(1, math.Max(lateWell, mark/mean))
 	if !v.bad() && a.now >= v.next {
 		v.ease, v.next = math.Min(1, v.ease+easeStep), a.now+period
 	}
@@ -898,16 +898,16 @@
 	}
 }
 
-// measure sets, raises or clears the total by how the tasks heard of have answered; one assigner may never
-// hear of half the list. While they are idle on the whole, late and failed answers come from uneven lines,
+// measure sets, raises or clears the total by how the tasks heard of have answered: those that got half of what
+// is let in, for one assigner may never hear of half the list, and a fresh one hears of few. While they are idle on the whole, late and failed answers come from uneven lines,
 // connections or errors: letting in less mends none of these, but leaves fewer answers to set a total by.
 func (s *split) measure(a *Assigner, use float64) (over bool) {
-	heard, bad, well, fails, views, busy, size := 0, 0, 0.0, 0.0, 1e-9, 0.0, 1e-9
+	heard, bad, well, tried, fails, views, busy, size := 0, 0, 0.0, 0.0, 0.0, 1e-9, 0.0, 1e-9
 	for _, t := range a.fleet {
 		seen, ill := 0, 0
 		for _, v := range t.views {
 			if a.now-v.judged <= 2*period && t.state == Ready {
-				seen, views, well, fails = 1, views+1, well+v.well, fails+v.fails
+				seen, views, well, tried, fails = 1, views+1, well+v.well, tried+v.rate, fails+v.fails
 				if v.bad() {
 					ill = 1
 				}
@@ -917,7 +917,7 @@
 			busy, size = busy+t.busy*t.size, size+t.size
 		}
 	}
-	s.fails, over = fails/views, heard >= 2 && 2*bad > heard && (busy > hotFrom*size || a.busyAt < 0)
+	s.fails, over = fails/views, 2*tried > math.Min(use, cmp.Or(s.total, use)) && 2*bad > heard && (busy > hotFrom*size || a.busyAt < 0)
 	switch {
 	case over:
 		if s.total == 0 {
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -532,3 +532,19 @@
 		}
 	}
 }
+
+// An assigner that just started has heard of a few tasks: what they answer is no total for all.
+func TestFewTasksSetNoTotal(t *testing.T) {
+	for few, want := range map[int]bool{3: false, 15: true} {
+		w := calm(t)
+		for i := 0; i < 10; i++ {
+			for _, k := range w.tasks[:few] {
+				w.step(0, Met{Zone: k.Zone, Task: k.Task, Span: 1, Mean: 2, Tries: 4, Load: []float64{1}})
+			}
+			w.step(0.4)
+		}
+		if got := w.a.split.total > 0; got != want {
+			t.Errorf("%d tasks heard of: a total is set: %v", few, got)
+		}
+	}
+}
