--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -537,6 +537,9 @@
 func TestFewTasksSetNoTotal(t *testing.T) {
 	for few, want := range map[int]bool{3: false, 15: true} {
 		w := calm(t)
+		for _, k := range w.a.fleet {
+			k.busy = 0
+		}
 		for i := 0; i < 10; i++ {
 			for _, k := range w.tasks[:few] {
 				w.step(0, Met{Zone: k.Zone, Task: k.Task, Span: 1, Mean: 2, Tries: 4, Load: []float64{1}})
