Hold fewer lines in tables while tries fail for want of connections

Cause: each proxy may hold a few connections over the whole fleet, and its table had ten lines; a line without a connection fails, is avoided, and comes back to fail again. Told from overload by the low busy share and quick good answers, from ill tasks by the failures being spread over most tries. Change: while four tenths of all tries fail, the good answers are quick and the tasks idle, the lines of an own table shrink by the part that fails, every three seconds, to two at least; they come back one at a time when less than a tenth fails. It should hold for slow handshakes that time out and for full connection tables; it may harm where most tasks turn reqs away quickly by errors. Comments that said what the line does are gone.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -12,7 +12,8 @@
 //  2. own:    a proxy leaves its standing table also when that may hold a task needing care, or history
 //  3. fill:   an own table is dealt its zone's tasks first and others only for what these cannot carry
 //  4. window: orders wait while unapplied lines fill the channel's part; drains and joins pass first
-//  5. thaw:   while its tables hold cold tasks a proxy lets in no more than these bear
+//  5. narrow: tables hold fewer lines while tries fail for want of connections
+//  6. thaw:   while its tables hold cold tasks a proxy lets in no more than these bear
 
 import (
 	"cmp"
@@ -54,7 +55,6 @@
 
 type note any
 
-// actor is a part with an inbox.
 type actor interface {
 	box() *inbox
 	take(*Assigner, note)
@@ -64,7 +64,6 @@
 
 func (b *inbox) box() *inbox { return b }
 
-// Notes between actors, beside the events of door.go.
 type (
 	beatNote  struct{}
 	cutNote   struct{ v *view }
@@ -87,7 +86,6 @@
 	rate, part    float64 // of all proxies heard; part of all reqs
 }
 
-// shut tells whether the kind is closed in a zone.
 func (k *reqKind) shut(zone string) bool { return len(k.zones) > 0 && !slices.Contains(k.zones, zone) }
 
 // tableGroup joins request kinds that are open to the same tasks and so can share a table.
@@ -141,6 +139,7 @@
 	a := &Assigner{cfg: cfg, rng: rand.New(rand.NewSource(seed)), tasks: map[string]*task{}, split: &split{}}
 	a.desk = &desk{limit: a.num("channel.limit", math.Inf(1)), head: a.num("message.lines", 1),
 		most: int(a.num("messages.limit", 0)), span: a.num("messages.span", 10)}
+	a.split.lines = tableSize
 	cols, _ := cfg["load.columns"].([]string)
 	a.busyAt = slices.Index(cols, "busy")
 	names, _ := cfg["kind.name"].([]string)
@@ -196,7 +195,6 @@
 	a.busy = append(a.busy, to)
 }
 
-// run is the one loop that empties the inboxes.
 func (a *Assigner) run() {
 	for i := 0; i < len(a.busy); i++ {
 		b := a.busy[i].box()
@@ -207,7 +205,6 @@
 	a.busy = a.busy[:0]
 }
 
-// sort turns ids into objects and puts the event into the inbox it concerns.
 func (a *Assigner) sort(e Event) {
 	switch e := e.(type) {
 	case Listed:
@@ -289,7 +286,6 @@
 	return a.zones[len(a.zones)-1]
 }
 
-// look works out what the tables of the zone's proxies are decided by.
 func (z *zone) look(a *Assigner) {
 	busy, size, sound, warm := 0.0, 0.0, 0.0, 0.0
 	z.plans, z.care = map[*tableGroup]*plan{}, map[bool]int{}
@@ -387,7 +383,6 @@
 	return from + (1-from)*math.Max(age, 0)/long
 }
 
-// part is how much of its listed weight a line of this task may have for proxies of a zone.
 func (t *task) part(a *Assigner, zone string) float64 {
 	v := t.view(a, zone)
 	if t.state != Ready {
@@ -396,8 +391,8 @@
 	return math.Min(v.ease, t.warm(a))
 }
 
-// strange tells of a task that came late to the list, claims to have run long and never answered, or fails and
-// has long not answered. The list may be wrong: such a task gets a trial's part, half by fewer lines, half by
+// strange tells of a task that came late to the list, claims to have run long and never answered, or that
+// fails and has long not answered. Lists may be wrong: it gets a trial's part, half by fewer lines, half by
 // lighter ones, till it answers. It harms where an assigner starts from a list that lacks most tasks.
 func (t *task) strange(a *Assigner, zone string) bool {
 	return a.now-t.answered > unheard && t.warm(a) == 1 && (t.answered == 0 || t.view(a, zone).fails >= failing)
@@ -476,7 +471,6 @@
 	}
 }
 
-// lateMark is the mean answer time above which a task counts as answering badly.
 func (a *Assigner) lateMark() float64 {
 	mean := 0.0
 	for _, k := range a.kinds {
@@ -579,7 +573,6 @@
 	}
 }
 
-// cand is a task as the tables of one zone may hold it.
 type cand struct {
 	line
 	far, cold       bool
@@ -657,7 +650,6 @@
 	return d
 }
 
-// deal adds or takes off what a table brings to its tasks.
 func (d *plan) deal(p *proxy, lines []line, sign float64) {
 	sum := 0.0
 	for _, l := range lines {
@@ -670,9 +662,8 @@
 	}
 }
 
-// draw gives the lines of an own table: the zone's tasks first, since crossing zones is charged, then
-// others drawn at listed weights until the table can carry what the zone's tasks usually do. It tells
-// how much of that a table with cold tasks carries; 0 without.
+// draw gives the lines of an own table: the zone's tasks first, since crossing is charged, then others till
+// it carries what the zone's usually do. Full: how much of that a table with cold tasks carries; 0 without.
 func (p *proxy) draw(a *Assigner, g *tableGroup) (lines []line, full float64) {
 	d := a.zone(p.zone).plan(a, g)
 	d.deal(p, p.laid[g.pos], -1)
@@ -687,7 +678,8 @@
 	slices.SortFunc(d.cands, func(x, y *cand) int {
 		return cmp.Or(cmp.Compare(x.key, y.key), cmp.Compare(x.t.lot, y.t.lot))
 	})
-	far := min(int(math.Round(d.far*tableSize)), tableSize-1) // a zone that has any task keeps a line
+	n := int(math.Round(a.split.lines))
+	far := min(int(math.Round(d.far*float64(n))), n-1) // a zone that has any task keeps a line
 	cold, sound := 0.0, 0.0
 	pick := func(far bool, n int) (sum, listed float64) {
 		for _, c := range d.cands {
@@ -703,7 +695,7 @@
 		}
 		return sum, listed
 	}
-	sum, _ := pick(false, tableSize-far)
+	sum, _ := pick(false, n-far)
 	near := len(lines)
 	rest, listed := pick(true, far)
 	if sum > 0 && rest > 0 { // the far lines get the far part, however few there are
@@ -768,9 +760,8 @@
 	return out, urgent
 }
 
-// levelOrders sheds the lowest value first: the dearer kinds take their use from the proxy's level,
-// and only the kind at the margin is held to what is left. Cold: how much of the usual a table with cold
-// tasks carries; 0 without.
+// levelOrders sheds the lowest value first: the dearer kinds take their use from the proxy's level, and only
+// the kind at the margin is held to what is left. Cold: as draw's full.
 func (p *proxy) levelOrders(a *Assigner, g *tableGroup, table int, cold float64) (out []SetLevel) {
 	left := p.level
 	for _, k := range a.byValue {
@@ -797,7 +788,6 @@
 	return out
 }
 
-// holds notes what the proxy will hold once the orders are applied.
 func (p *proxy) holds(a *Assigner, out []Order) {
 	for _, o := range out {
 		switch o := o.(type) {
@@ -819,11 +809,11 @@
 
 type split struct {
 	inbox
-	total float64 // 0: unset
-	fails float64 // mean share of failed tries at the tasks heard of
+	total       float64 // 0: unset
+	fails       float64 // mean share of failed tries at the tasks heard of
+	lines, next float64 // of an own table, and when that may change
 }
 
-// active gives the proxies of the split; the unheard leave it.
 func (s *split) active(a *Assigner) (l []*proxy) {
 	for _, p := range a.crowd {
 		if a.now-p.heard > unheard {
@@ -898,16 +888,17 @@
 	}
 }
 
-// measure sets, raises or clears the total by how the tasks heard of have answered: those that got half of what
-// is let in, for one assigner may never hear of half the list, and a fresh one hears of few. While they are idle on the whole, late and failed answers come from uneven lines,
-// connections or errors: letting in less mends none of these, but leaves fewer answers to set a total by.
+// measure sets, raises or clears the total by how the tasks heard of answered, once half of what is let in
+// was told of: a fresh assigner knows few. While tasks are idle on the whole, late and failed answers come of
+// uneven lines, connections or errors: letting in less mends none, but leaves fewer to set a total by.
 func (s *split) measure(a *Assigner, use float64) (over bool) {
-	heard, bad, well, tried, fails, views, busy, size := 0, 0, 0.0, 0.0, 0.0, 1e-9, 0.0, 1e-9
+	heard, bad, well, tried, failed, fails, views, busy, size := 0, 0, 0.0, 1e-9, 0.0, 0.0, 1e-9, 0.0, 1e-9
 	for _, t := range a.fleet {
 		seen, ill := 0, 0
 		for _, v := range t.views {
 			if a.now-v.judged <= 2*period && t.state == Ready {
 				seen, views, well, tried, fails = 1, views+1, well+v.well, tried+v.rate, fails+v.fails
+				failed += v.rate * v.fails
 				if v.bad() {
 					ill = 1
 				}
@@ -917,7 +908,15 @@
 			busy, size = busy+t.busy*t.size, size+t.size
 		}
 	}
-	s.fails, over = fails/views, 2*tried > math.Min(use, cmp.Or(s.total, use)) && 2*bad > heard && (busy > hotFrom*size || a.busyAt < 0)
+	full := busy > hotFrom*size || a.busyAt < 0
+	s.fails, over = fails/views, full && 2*bad > heard && 2*tried > math.Min(use, cmp.Or(s.total, use))
+	switch lost := failed / tried; { // quick good answers of idle tasks beside failures: connections are scarce
+	case a.now < s.next:
+	case lost > failing && 2*well > (1+lateWell)*(tried-failed) && !full:
+		s.lines, s.next = math.Max(s.lines*(1-lost), 2), a.now+cutEvery
+	case lost < leastEase && s.lines < tableSize:
+		s.lines, s.next = math.Min(s.lines+1, tableSize), a.now+cutEvery
+	}
 	switch {
 	case over:
 		if s.total == 0 {
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -498,6 +498,25 @@
 	}
 }
 
+// Where connections are scarce most tries fail at idle tasks and the rest are answered quickly: tables hold fewer
+// lines, and all again when the failures end.
+func TestScarceConnectionsMakeTablesNarrow(t *testing.T) {
+	w := calm(t)
+	tell := func(failed int) int {
+		for i := 0; i < 40; i++ {
+			for _, k := range w.tasks {
+				w.step(0, Met{Zone: k.Zone, Task: k.Task, Span: 1, Mean: 0.1, Tries: 9, Failed: failed, Load: []float64{0.3}})
+			}
+			w.step(0.8)
+		}
+		lines, _ := w.proxy(0).draw(w.a, w.a.groups[1])
+		return len(lines)
+	}
+	if all, few, back := tell(0), tell(6), tell(0); few > all/2 || few < 2 || back != all {
+		t.Errorf("%d lines, %d while tries fail, %d after", all, few, back)
+	}
+}
+
 // One assigner hears only its own zone's proxies. When the zone's tasks are full and others are not, part of what
 // its proxies bring goes there, as much as evens them out and no more, though reports trail by seconds.
 func TestHotZoneLeansOnOthers(t *testing.T) {
