Ask how busy tasks are only of those that answered in the last three seconds

Cause: with levels that low most tasks get no tries, so their last busy share, told in the jam, stands; it kept the mean above three quarters, overload went on being called by the few slow tasks that were still judged, and each second the total was set to what little was answered. Told from a true overload by the quick answers and by the age of the reports. Change: only tasks with a good answer in the last three seconds count in the mean. It should hold wherever reports stop: thin intake, dead tasks, cut zones; it may call an overload late where all reports are older than that. The plain test failed before.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -904,7 +904,8 @@
 				}
 			}
 		}
-		if heard, bad = heard+seen, bad+ill; t.state == Ready && t.busy > 0 {
+		heard, bad = heard+seen, bad+ill
+		if t.state == Ready && t.busy > 0 && a.now-t.answered <= cutEvery { // older reports are of a jam gone by
 			busy, size = busy+t.busy*t.size, size+t.size
 		}
 	}
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -393,18 +393,19 @@
 // few tasks answer is no total for all: set by the few good answers it would shrink with them, down to nothing.
 func TestIdleOrFewTasksSetNoTotal(t *testing.T) {
 	for _, c := range []struct {
-		few, failed int
-		mean, busy  float64
-		want        bool
-	}{{15, 6, 0.1, 0.4, false}, {15, 1, 2, 0.4, false}, {15, 6, 0.9, 0.95, true}, {3, 6, 0.9, 0.95, false}} {
+		few, tries, failed int
+		mean, busy, was    float64 // was: told of the others, long ago
+		want               bool
+	}{{15, 9, 6, 0.1, 0.4, 0, false}, {15, 9, 1, 2, 0.4, 0, false}, {15, 9, 6, 0.9, 0.95, 0, true},
+		{3, 9, 6, 0.9, 0.95, 0, false}, {4, 60, 6, 0.9, 0.5, 1, false}} {
 		w := calm(t)
 		for _, k := range w.a.fleet {
-			k.busy = 0
+			k.busy, k.answered = c.was, w.now-5
 		}
 		for i := 0; i < 5; i++ {
 			for j, k := range w.tasks[:c.few] { // one is full all the same
 				load := []float64{math.Max(c.busy, float64(1-j))}
-				w.step(0, Met{Zone: k.Zone, Task: k.Task, Span: 1, Mean: c.mean, Tries: 9, Failed: c.failed, Load: load})
+				w.step(0, Met{Zone: k.Zone, Task: k.Task, Span: 1, Mean: c.mean, Tries: c.tries, Failed: c.failed, Load: load})
 			}
 			w.step(0.8)
 		}
