Let the total rise at once to what keeps the answering tasks three quarters busy

Told from lasting overload by the busy share of tasks that answered in the last three seconds. It should hold after any jam, release or assigner restart; it may overshoot where busy shares lag by more than the period. A plain test failed before.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -269,8 +269,7 @@
 	hot   bool // its tasks are nearly full
 	shaky bool // most warm tasks fail its proxies, which then keep away from them and press on the rest
 	plans map[*tableGroup]*plan
-	// Busy: of its tasks, by size; rate and proxies: of those heard; spill: the part of what they bring that
-	// goes to other zones, and felt: what of that the reports can show.
+	// Rate and proxies: of those heard; spill: the part of it for other zones; felt: what reports show of that.
 	most, size, busy, rate, proxies, spill, felt float64
 	// Standing tables that hold only its tasks, or any, may stay: 0, need care: 1, and a rule waits for it: 2.
 	care map[bool]int
@@ -335,16 +334,17 @@
 // task is the one record of a task.
 type task struct {
 	inbox
-	id, zone string
-	pos      int     // in the fleet
-	lot      float64 // drawn at random: the order in which equals are dealt
-	size     float64
-	state    State
-	started  float64
-	dropped  bool    // the list calls it gone, which does not bind
-	answered float64 // when a good answer was last told of
-	busy     float64 // by its own reports, which count all proxies' reqs
-	views    []*view
+	id, zone   string
+	pos        int     // in the fleet
+	lot        float64 // drawn at random: the order in which equals are dealt
+	size       float64
+	state      State
+	started    float64
+	dropped    bool    // the list calls it gone, which does not bind
+	answered   float64 // when a good answer was last told of
+	busy       float64 // by its own reports, which count all proxies' reqs
+	told, done float64 // good answers told of since the last beat, and in the second before it
+	views      []*view
 }
 
 // view is a task as the proxies of one zone meet it: a cut between zones is no illness of the task.
@@ -369,8 +369,7 @@
 	return v
 }
 
-// warm is the part of its capacity that a started task can surely do: by the list's start and the
-// settings' slowest curve, whatever the true one.
+// warm is what a started task can surely do, by the settings' slowest curve, whatever the true one.
 func (t *task) warm(a *Assigner) float64 {
 	from, long := a.num("cold.share", 1), a.num("cold.time", 0)
 	age := a.now - t.started
@@ -424,13 +423,15 @@
 			t.busy = n.Load[i]
 		}
 		v.tries, v.failed = v.tries+float64(n.Tries), v.failed+float64(n.Failed)
-		v.sum += n.Mean * float64(n.Tries-n.Failed)
+		good := float64(n.Tries - n.Failed)
+		v.sum, t.told = v.sum+n.Mean*good, t.told+good
 		if n.Tries > n.Failed {
 			if t.answered = a.now; t.dropped {
 				t.state = Ready
 			}
 		}
 	case beatNote:
+		t.done, t.told = t.told/period, 0
 		if t.dropped {
 			a.post(t, goneNote{})
 		}
@@ -579,8 +580,7 @@
 	fails, due, key float64 // due: what the tables dealt so far bring a unit of its weight; key: its place
 }
 
-// plan is what a group's tables in a zone are drawn from. It is worked out once a look, not once a proxy:
-// a large fleet would cost the assigner its whole second.
+// plan is what a group's tables in a zone are dealt from, worked out once a look: a large fleet costs CPU.
 type plan struct {
 	cands, at       []*cand // at: by the task's place in the fleet
 	far, full, left float64 // the far lines' part; what a table carries at most; what is left of the fleet
@@ -706,8 +706,7 @@
 		rest *= scale
 	}
 	d.deal(p, lines, 1)
-	// A cold task does not take the part of warm ones that are missing: its part of the table stays
-	// what the full table would give it.
+	// A cold task's part stays what the full table would give it, even if warm ones are missing.
 	top := math.Min(0.9, cold/math.Max(d.full, 1e-9))
 	switch warm := sum + rest - cold; {
 	case cold == 0:
@@ -892,7 +891,8 @@
 // was told of: a fresh assigner knows few. While tasks are idle on the whole, late and failed answers come of
 // uneven lines, connections or errors: letting in less mends none, but leaves fewer to set a total by.
 func (s *split) measure(a *Assigner, use float64) (over bool) {
-	heard, bad, well, tried, failed, fails, views, busy, size := 0, 0, 0.0, 1e-9, 0.0, 0.0, 1e-9, 0.0, 1e-9
+	heard, bad, done, well, tried, failed, fails := 0, 0, 0.0, 0.0, 1e-9, 0.0, 0.0
+	views, busy, size := 1e-9, 1e-9, 1e-9
 	for _, t := range a.fleet {
 		seen, ill := 0, 0
 		for _, v := range t.views {
@@ -904,7 +904,7 @@
 				}
 			}
 		}
-		heard, bad = heard+seen, bad+ill
+		heard, bad, done = heard+seen, bad+ill, done+t.done
 		if t.state == Ready && t.busy > 0 && a.now-t.answered <= cutEvery { // older reports are of a jam gone by
 			busy, size = busy+t.busy*t.size, size+t.size
 		}
@@ -925,7 +925,8 @@
 		}
 		s.total = math.Max(well, 0.1)
 	case s.total > 0:
-		if s.total *= step; s.total > clearOver*use {
+		// After a jam the total is far too low for a step: busy shares tell how far, where anything was answered.
+		if s.total = math.Max(s.total*step, done*hotFrom*size/busy); s.total > clearOver*use {
 			a.logf("levels cleared: total %.1f/s over use %.1f/s", s.total, use)
 			s.total = 0
 		}
@@ -935,8 +936,7 @@
 
 // ---- the desk
 
-// desk writes the orders. It knows of each message whether it was applied, and so keeps the channel
-// short on days when that is slower than stated.
+// desk writes the orders; by the receipts it keeps the channel short on days when that is slow.
 type desk struct {
 	inbox
 	limit, head, span float64
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -499,6 +499,21 @@
 	}
 }
 
+// A total set in a jam is far too low: once tasks answer well and stay idle, it must not take a tenth a second back.
+func TestTotalRecoversFromAJam(t *testing.T) {
+	w := calm(t)
+	w.a.split.total = 2
+	for i := 0; i < 4; i++ {
+		for _, k := range w.tasks {
+			w.step(0, Met{Zone: k.Zone, Task: k.Task, Span: 1, Mean: 0.1, Tries: 2, Load: []float64{0.3}})
+		}
+		w.step(1)
+	}
+	if x := w.a.split.total; x > 0 && x < 50 {
+		t.Errorf("tasks three tenths busy with 30 reqs a second get a total of %.1f", x)
+	}
+}
+
 // Where connections are scarce most tries fail at idle tasks and the rest are answered quickly: tables hold fewer
 // lines, and all again when the failures end.
 func TestScarceConnectionsMakeTablesNarrow(t *testing.T) {
