Give cold tasks no line while tables are narrow

Cause: an assigner that had just started made its tables narrow, as most tries failed in the jam; a table of two lines, one of them cold, sent all to the cold one once its proxy kept away from the other. What it knew of the warm tasks from that zone was nothing yet, so they passed for sound. Change: while tables are narrow a zone counts as shaky, so that cold tasks get no line beside warm ones. It should hold for every cause of narrow tables; it may keep returning tasks out until warm while connections are scarce.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -304,7 +304,7 @@
 		}
 	}
 	z.most, z.busy, z.size = math.Max(z.most, size), busy/math.Max(size, 1e-9), size
-	z.shaky = 2*sound < warm
+	z.shaky = 2*sound < warm || a.split.lines < tableSize
 	z.hot = z.busy > hotFrom || z.hot && z.busy > hotTo
 }
 
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -518,7 +518,16 @@
 		for i := 0; i < 40; i++ {
 			w.meet(15, 0.8, Met{Mean: 0.1, Tries: 9, Failed: failed, Load: []float64{0.3}})
 		}
+		w.tasks[0].Started = w.now - 4 // cold: of two lines one is soon avoided, and all presses on the other
+		w.list(w.tasks[0])
+		for _, k := range w.a.fleet { // of this zone's proxies nothing is known yet
+			k.views = nil
+		}
+		w.a.zone("x").look(w.a)
 		lines, _ := w.proxy(0).draw(w.a, w.a.groups[1])
+		if cold := weight(lines, w.a.tasks["t0"]) > 0; cold != (failed == 0) {
+			t.Errorf("%d of 9 fail: a cold task has a line: %v", failed, cold)
+		}
 		return len(lines)
 	}
 	if all, few, back := tell(0), tell(6), tell(0); few > all/2 || few < 2 || back != all {
