--- a/benchwire/decode.go
+++ b/benchwire/decode.go
@@ -9,6 +9,7 @@
 	"math"
 
 	"madderhollow/assign"
+	"madderhollow/settings"
 )
 
 // Start opens an instance; Stop ends it.
@@ -137,8 +138,8 @@
 			f.fail(i, "numbers in the load report")
 			return nil
 		}
-		if k < len(cols) && cols[k] == "serviceTime" {
-			x /= 1000
+		if k < len(cols) {
+			x = settings.Figure(cols[k], x)
 		}
 		out = append(out, x)
 	}
@@ -199,7 +200,7 @@
 		if !ok {
 			f.fail(2, "an object")
 		}
-		s := settings(obj)
+		s := settings.Translate(obj)
 		if cols, ok := s["load.columns"].([]string); ok {
 			d.columns[l.Instance] = cols
 		}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,111 @@
+// Package config reads what an assigner is told at its start.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"madderhollow/assign"
+	"madderhollow/internal/wire"
+	"madderhollow/settings"
+)
+
+// Config is what the program runs by.
+type Config struct {
+	Name, Listen, Discovery, Relay string
+	Seed                           int64
+	Cores                          float64
+	MemoryMB, Sockets              int
+	PeerListen, PeersAll           string
+	Peers                          []string
+	Known                          wire.List
+	Settings                       assign.Settings
+}
+
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	PeerListen string   `json:"peer_listen"`
+	Peers      []string `json:"peers"`
+	PeersAll   string   `json:"peers_all"`
+	Relay      struct {
+		Address string `json:"address"`
+	} `json:"relay"`
+	Known    *wire.List     `json:"known"`
+	Settings map[string]any `json:"settings"`
+}
+
+// The limits where the configuration names none: those of the platform's scored days.
+const (
+	usualMemoryMB = 192
+	usualSockets  = 1024
+)
+
+// Load reads the file that EDGE_CONFIG names; the other variables go before what stands in it.
+func Load(env func(string) string) (*Config, error) {
+	path := env("EDGE_CONFIG")
+	if path == "" {
+		return nil, errors.New("EDGE_CONFIG is not set")
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	return Parse(b, env)
+}
+
+// Parse is Load on a file's bytes.
+func Parse(b []byte, env func(string) string) (*Config, error) {
+	f := file{}
+	if err := json.Unmarshal(b, &f); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	for name, to := range map[string]*string{"EDGE_NAME": &f.Name, "EDGE_LISTEN": &f.Listen, "EDGE_DISCOVERY": &f.Discovery} {
+		if v := env(name); v != "" {
+			*to = v
+		}
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: seed %q is no hexadecimal number", f.Seed)
+	}
+	if len(f.Settings) == 0 || f.Known == nil {
+		return nil, errors.New("configuration: settings or known are missing")
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Relay: f.Relay.Address, Seed: int64(seed),
+		Cores: f.Limits.Cores, MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets, PeerListen: f.PeerListen,
+		PeersAll: f.PeersAll, Peers: f.Peers, Known: *f.Known, Settings: settings.Translate(f.Settings)}
+	if c.MemoryMB <= 0 {
+		c.MemoryMB = usualMemoryMB
+	}
+	if c.Sockets <= 0 {
+		c.Sockets = usualSockets
+	}
+	need := []struct{ name, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"relay.address", c.Relay}}
+	if c.MayTell() {
+		need = append(need, struct{ name, address string }{"peer_listen", c.PeerListen})
+	}
+	for _, n := range need {
+		if _, err := netip.ParseAddrPort(n.address); err != nil {
+			return nil, fmt.Errorf("configuration: %s: %w", n.name, err)
+		}
+	}
+	return c, nil
+}
+
+// MayTell tells whether the settings allow messages between assigners and there is where to listen for them.
+func (c *Config) MayTell() bool {
+	may, _ := c.Settings["may.tell"].(bool)
+	return may && len(c.Peers) > 0
+}
--- /dev/null
+++ b/internal/relay/calls.go
@@ -0,0 +1,160 @@
+// Package relay is the client side towards the relay: calls with orders, and the stream of news.
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"madderhollow/internal/exchange"
+	"madderhollow/internal/wire"
+)
+
+const (
+	// answerWithin: the answer arrives within 50 ms or never; a busy machine gets as much again and more.
+	answerWithin = 200 * time.Millisecond
+	// dialWithin: a connection on the platform's network is up in milliseconds or never.
+	dialWithin = 300 * time.Millisecond
+	// idleMost: the relay closes a connection idle for 10 s or less; a call into one that closes is in doubt.
+	idleMost = 2 * time.Second
+	// againFirst and againMost bound the pauses after failed calls; the rules wait half a second for one.
+	againFirst, againMost = 5 * time.Millisecond, 200 * time.Millisecond
+	// busyAgain is the pause after BUSY, which ends when the run begins.
+	busyAgain = 50 * time.Millisecond
+	// syntaxMost is how often a call that the relay cannot read is tried, lest a fault of ours block the rest.
+	syntaxMost = 3
+	// bodyMost bounds an answer; the relay's have a hundred bytes.
+	bodyMost = 64 << 10
+	// startLogged is how much of a call that was not understood goes into the log.
+	startLogged = 200
+)
+
+// Caller sends what waits in the exchange, one call after another. It owns one connection.
+type Caller struct {
+	address string
+	x       *exchange.Exchange
+	log     zerolog.Logger
+	rng     *rand.Rand
+	conn    net.Conn // nil: none
+	r       *bufio.Reader
+	used    time.Time
+}
+
+// NewCaller makes a caller to a relay.
+func NewCaller(address string, x *exchange.Exchange, seed int64, log zerolog.Logger) *Caller {
+	return &Caller{address: address, x: x, rng: rand.New(rand.NewSource(seed)), log: log}
+}
+
+// Run calls until the context ends.
+func (c *Caller) Run(ctx context.Context) {
+	defer c.hangUp()
+	pause, unread := againFirst, 0
+	for {
+		call, err := c.x.Take(ctx)
+		if err != nil {
+			return
+		}
+		answer, sent, err := c.call(ctx, call)
+		again := time.Duration(0)
+		switch {
+		case err != nil:
+			// Whole or not at all, who knows: a repeat costs its lines and a message a proxy, a loss would
+			// leave a drain unkept or a proxy bare. So it is repeated, and first of all what comes next.
+			c.hangUp()
+			c.x.Return(call, 0, sent)
+			c.log.Warn().Err(err).Bool("sent", sent).Int("orders", len(call.Orders)).Msg("relay: call in doubt, repeated")
+			again = pause/2 + time.Duration(c.rng.Int63n(int64(pause)))
+			pause = min(2*pause, againMost)
+		case answer.Code != "":
+			if answer.Code == "SYNTAX" {
+				unread++
+				start := call.Orders[0]
+				c.log.Error().Int("orders", len(call.Orders)).Str("start", start[:min(len(start), startLogged)]).
+					Msg("relay: call not understood")
+			}
+			if unread < syntaxMost {
+				c.x.Return(call, 0, false)
+			} else {
+				unread = 0
+			}
+			if answer.Code != "SYNTAX" {
+				c.log.Info().Str("code", answer.Code).Msg("relay: call put off")
+			}
+			again = busyAgain
+		case answer.Taken < len(call.Orders):
+			c.log.Warn().Str("order", call.Orders[answer.Taken]).Msg("relay: order not taken, dropped")
+			c.x.Return(call, answer.Taken+1, false)
+			pause, unread = againFirst, 0
+		default:
+			pause, unread = againFirst, 0
+		}
+		if again > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(again):
+			}
+		}
+	}
+}
+
+func (c *Caller) hangUp() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// call sends one call. Sent: all its bytes went out, so that after an error it is in doubt.
+func (c *Caller) call(ctx context.Context, call exchange.Call) (a wire.Answer, sent bool, err error) {
+	if c.conn != nil && time.Since(c.used) > idleMost {
+		c.hangUp()
+	}
+	if c.conn == nil {
+		c.conn, err = (&net.Dialer{Timeout: dialWithin}).DialContext(ctx, "tcp", c.address)
+		if err != nil {
+			c.conn = nil
+			return a, false, fmt.Errorf("dial: %w", err)
+		}
+		c.r = bufio.NewReader(c.conn)
+	}
+	conn := c.conn
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	conn.SetDeadline(time.Now().Add(answerWithin))
+	body := wire.Call(call.Orders)
+	req := &http.Request{Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: c.address, Path: "/"}, Host: c.address,
+		Header: http.Header{"Content-Type": {"application/x-www-form-urlencoded"}},
+		Body:   io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body))}
+	if err := req.Write(conn); err != nil {
+		return a, false, fmt.Errorf("write: %w", err)
+	}
+	resp, err := http.ReadResponse(c.r, req)
+	if err != nil {
+		return a, true, fmt.Errorf("answer: %w", err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, bodyMost))
+	if err != nil {
+		return a, true, fmt.Errorf("answer: %w", err)
+	}
+	if a, err = wire.ReadAnswer(text); err != nil {
+		return a, true, err
+	}
+	if a.Taken > len(call.Orders) {
+		return a, true, errors.New("the relay took more orders than there were")
+	}
+	if c.used = time.Now(); resp.Close {
+		c.hangUp()
+	}
+	return a, true, nil
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,215 @@
+// Package wire reads and writes the messages of the platform's own protocol: each is decoded once, into
+// an event of package assign or a small value of its own, and encoded once. It opens no connection.
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"madderhollow/assign"
+	"madderhollow/settings"
+)
+
+// Messages at the assigner's address that are no events.
+type (
+	// Ping asks whether the assigner can take up its work.
+	Ping struct{}
+	// Collector states the zone whose reports a connection brings.
+	Collector struct{ Zone string }
+)
+
+// Pong answers Ping.
+var Pong = []byte(`{"@type":"pong"}` + "\n")
+
+// largest bounds counts and times: above it a figure is a broken counter, and sums of it lose their digits.
+const largest = 1e9
+
+// Codec holds what of the settings the messages refer to by name or by place.
+type Codec struct {
+	columns, kinds, zones []string
+	proxies               int
+	epoch                 time.Time // when the assigner's clock showed 0
+}
+
+// NewCodec reads the settings. Epoch is the wall clock's time at which the assigner's clock showed 0.
+func NewCodec(cfg assign.Settings, epoch time.Time) *Codec {
+	c := &Codec{epoch: epoch, proxies: math.MaxUint16}
+	c.columns, _ = cfg["load.columns"].([]string)
+	c.kinds, _ = cfg["kind.name"].([]string)
+	c.zones, _ = cfg["zones"].([]string)
+	if n, ok := cfg["proxies"].(float64); ok {
+		c.proxies = int(n)
+	}
+	return c
+}
+
+// report has the members of every message at the assigner's address; a pointer tells a missing one.
+type report struct {
+	Type     string             `json:"@type"`
+	Locality string             `json:"locality"`
+	Endpoint string             `json:"endpoint"`
+	Route    string             `json:"route"`
+	Node     *float64           `json:"node"`
+	Total    *float64           `json:"total"`
+	Errors   *float64           `json:"errors"`
+	RTT      float64            `json:"rtt"`
+	Interval *float64           `json:"interval"`
+	Metrics  map[string]float64 `json:"metrics"`
+}
+
+// Line decodes one line that came in at the assigner's address into Ping, Collector, assign.Met or
+// assign.Used. A kind not known is an error like any other: the line is to be skipped.
+func (c *Codec) Line(b []byte) (any, error) {
+	var r report
+	if err := json.Unmarshal(b, &r); err != nil {
+		return nil, fmt.Errorf("not a message: %w", err)
+	}
+	switch r.Type {
+	case "ping":
+		return Ping{}, nil
+	case "collector":
+		return Collector{r.Locality}, c.zone(r.Locality)
+	case "heard":
+		m := assign.Met{Zone: r.Locality, Task: r.Endpoint, Mean: r.RTT / 1000}
+		var err error
+		if m.Tries, m.Failed, m.Span, err = r.sums(); err != nil {
+			return nil, fmt.Errorf("heard: %w", err)
+		}
+		if err := errors.Join(c.zone(m.Zone), figure("rtt", &r.RTT)); err != nil || m.Task == "" {
+			return nil, fmt.Errorf("heard: endpoint %q: %w", m.Task, err)
+		}
+		m.Load, err = c.load(r.Metrics)
+		return m, err
+	case "usage":
+		u := assign.Used{Kind: r.Route}
+		var err error
+		if u.Reqs, u.Failed, u.Span, err = r.sums(); err != nil {
+			return nil, fmt.Errorf("usage: %w", err)
+		}
+		if u.Proxy, err = c.proxy(r.Node); err != nil {
+			return nil, fmt.Errorf("usage: %w", err)
+		}
+		if !slices.Contains(c.kinds, u.Kind) {
+			return nil, fmt.Errorf("usage: unknown route %q", u.Kind)
+		}
+		return u, nil
+	}
+	return nil, fmt.Errorf("unknown @type %q", r.Type)
+}
+
+func figure(name string, x *float64) error {
+	if x == nil || !(*x >= 0 && *x <= largest) {
+		return fmt.Errorf("%s is missing or absurd", name)
+	}
+	return nil
+}
+
+func whole(name string, x *float64) error {
+	if err := figure(name, x); err != nil || *x != math.Trunc(*x) {
+		return fmt.Errorf("%s is missing, absurd or no whole number", name)
+	}
+	return nil
+}
+
+func (r *report) sums() (total, failed int, span float64, err error) {
+	if err = errors.Join(whole("total", r.Total), whole("errors", r.Errors), figure("interval", r.Interval)); err != nil {
+		return 0, 0, 0, err
+	}
+	if *r.Errors > *r.Total || *r.Interval == 0 {
+		return 0, 0, 0, fmt.Errorf("%g errors of %g in %g ms", *r.Errors, *r.Total, *r.Interval)
+	}
+	return int(*r.Total), int(*r.Errors), *r.Interval / 1000, nil
+}
+
+func (c *Codec) zone(name string) error {
+	if !slices.Contains(c.zones, name) {
+		return fmt.Errorf("unknown locality %q", name)
+	}
+	return nil
+}
+
+func (c *Codec) proxy(x *float64) (int, error) {
+	if err := whole("node", x); err != nil {
+		return 0, err
+	}
+	if int(*x) >= c.proxies {
+		return 0, fmt.Errorf("node %g of %d", *x, c.proxies)
+	}
+	return int(*x), nil
+}
+
+// load puts a load report's figures, which come by name, into the order of the module's columns. A report
+// that lacks one is left out whole: a zero in its place would pass for an idle task.
+func (c *Codec) load(m map[string]float64) ([]float64, error) {
+	if len(m) == 0 || len(c.columns) == 0 {
+		return nil, nil
+	}
+	row := slices.Repeat([]float64{-1}, len(c.columns))
+	for name, x := range m {
+		if err := figure(name, &x); err != nil {
+			return nil, fmt.Errorf("heard: metrics: %w", err)
+		}
+		column := settings.Column(name)
+		if i := slices.Index(c.columns, column); i >= 0 {
+			row[i] = settings.Figure(column, x)
+		}
+	}
+	if slices.Contains(row, -1) {
+		return nil, nil
+	}
+	return row, nil
+}
+
+// Endpoint is a task in discovery's form. Address is left out: tasks are known by name, and a changed
+// address is no new task.
+type Endpoint struct {
+	Name   string  `json:"name"`
+	Zone   string  `json:"zone"`
+	Type   string  `json:"type"`
+	Group  int     `json:"group"`
+	Status string  `json:"status"`
+	Weight float64 `json:"weight"`
+	Since  float64 `json:"since_ms"`
+}
+
+// List is an answer of discovery, and the configuration's `known`.
+type List struct {
+	Index     *int64     `json:"index"`
+	Snapshot  *bool      `json:"snapshot"`
+	Endpoints []Endpoint `json:"endpoints"`
+}
+
+var states = map[string]assign.State{"active": assign.Ready, "leaving": assign.Draining, "left": assign.Gone}
+
+// List decodes an answer of discovery. One entry that cannot be read spoils it whole: in a whole list a
+// task left out counts as gone.
+func (c *Codec) List(b []byte) (assign.Listed, error) {
+	var l List
+	if err := json.Unmarshal(b, &l); err != nil {
+		return assign.Listed{}, fmt.Errorf("not a list: %w", err)
+	}
+	return c.Listed(l)
+}
+
+// Listed turns a list into the module's event.
+func (c *Codec) Listed(l List) (assign.Listed, error) {
+	if l.Index == nil || l.Snapshot == nil || *l.Index < 0 {
+		return assign.Listed{}, errors.New("a list without index or snapshot")
+	}
+	out := assign.Listed{Version: int(*l.Index), Whole: *l.Snapshot, Entries: make([]assign.Entry, len(l.Endpoints))}
+	for i, e := range l.Endpoints {
+		state, ok := states[e.Status]
+		if !ok || !Plain(e.Name) || e.Weight < 0 || e.Since < 0 {
+			return assign.Listed{}, fmt.Errorf("list %d: entry %d (%q) cannot be read", out.Version, i, e.Name)
+		}
+		out.Entries[i] = assign.Entry{Zone: e.Zone, Bay: e.Group, Task: e.Name, Size: e.Weight, State: state, Model: e.Type}
+		if e.Since > 0 { // a start before the clock's own is long ago
+			out.Entries[i].Started = math.Max(0, time.UnixMicro(int64(e.Since*1000)).Sub(c.epoch).Seconds())
+		}
+	}
+	return out, nil
+}
--- a/benchwire/settings.go
+++ b/settings/settings.go
@@ -1,4 +1,6 @@
-package benchwire
+// Package settings translates the settings object that every host is handed into the plain map and the
+// names and units that package assign reads.
+package settings
 
 import (
 	"math"
@@ -9,6 +11,7 @@
 // names gives the house's name for a wire setting; "s" marks milliseconds that become seconds.
 var names = map[string][2]string{
 	"az": {"zone"}, "balancers": {"assigners"}, "rank": {"rank"}, "zones": {"zones"},
+	"roundMs":   {"turn.least", "s"},
 	"discovery": {"list.mode"}, "weights": {"list.weights"}, "kinds": {"models"},
 	"caps.mayProbe": {"may.probe"}, "caps.peers": {"may.tell"},
 	"report.via":                  {"load.via"},
@@ -46,13 +49,31 @@
 // repeats gives the house's words for what may run again.
 var repeats = map[string]string{"safe": "replayable", "keyed": "uniqued", "unsafe": "non-replayable"}
 
-// columns gives the house's words for load figures; unknown ones keep their name.
+// columns gives the house's words for load figures, which the pages write in two ways; unknown ones keep
+// their name.
 var columns = map[string]string{"load_share": "busy", "concurrent": "held", "mean_ms": "serviceTime",
-	"tps": "doneRate", "err_ps": "errorRate", "depth": "waiting"}
+	"tps": "doneRate", "err_ps": "errorRate", "depth": "waiting", "util": "busy", "inflight": "held",
+	"latency_ms": "serviceTime", "qps": "doneRate", "eps": "errorRate", "queue": "waiting"}
 
-// settings flattens the wire's object into the plain map that package assign reads. Names not in
+// Column gives the house's word for a load figure.
+func Column(name string) string {
+	if n, ok := columns[name]; ok {
+		return n
+	}
+	return name
+}
+
+// Figure gives a load figure of a column in the house's units.
+func Figure(column string, x float64) float64 {
+	if column == "serviceTime" {
+		return x / 1000
+	}
+	return x
+}
+
+// Translate flattens the wire's object into the plain map that package assign reads. Names not in
 // the table keep their dotted path and value.
-func settings(obj map[string]any) assign.Settings {
+func Translate(obj map[string]any) assign.Settings {
 	s := assign.Settings{}
 	flatten(s, "", obj)
 	if list, ok := obj["classes"].([]any); ok {
@@ -68,10 +89,7 @@
 	if list, ok := s["report.columns"].([]string); ok {
 		cols := make([]string, len(list))
 		for i, c := range list {
-			cols[i] = c
-			if n, ok := columns[c]; ok {
-				cols[i] = n
-			}
+			cols[i] = Column(c)
 		}
 		s["load.columns"] = cols
 	}
