--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -567,3 +567,24 @@
 		t.Errorf("an idle zone still sends %.2f of its reqs to others", z.spill)
 	}
 }
+
+// A host that lost its news tells of standing proxies anew, without Left: what went to them counts on.
+func TestProxiesToldAnewKeepTheirCount(t *testing.T) {
+	a := New(1, settings())
+	a.Handle(1000, []Event{Listed{Whole: true, Entries: entries("x", 12)}})
+	var wrote []float64
+	mark := -1
+	for now := 1000.0; now < 1030; now += 0.2 {
+		for _, o := range a.Handle(now, []Event{Applied{Proxy: 1, Mark: mark}, Joined{Proxy: 1, Zone: "x", Rate: 5}}) {
+			if m, ok := o.(Mark); ok {
+				wrote, mark = append(wrote, now), m.Mark
+			}
+		}
+		for len(wrote) > 0 && wrote[0] < now-10 {
+			wrote = wrote[1:]
+		}
+		if len(wrote) == 0 || len(wrote) > 20 {
+			t.Fatalf("%d messages within 10 s", len(wrote))
+		}
+	}
+}
--- a/cmd/madderhollow/main.go
+++ b/cmd/madderhollow/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"math"
@@ -17,6 +18,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"madderhollow/assign"
 	"madderhollow/internal/config"
@@ -26,16 +28,24 @@
 	"madderhollow/internal/intake"
 	"madderhollow/internal/peer"
 	"madderhollow/internal/relay"
+	"madderhollow/internal/status"
 	"madderhollow/internal/wire"
 )
 
 // heapPart of the memory limit is the runtime's; the rest is for stacks, sockets and the collector's lag.
 const heapPart = 0.6
 
-// logBurst lines a second are written; beyond, trouble that repeats itself would fill the operators' disk.
-const logBurst = 50
+// logBurst lines a second are written, beyond which trouble that repeats itself would fill the operators'
+// disk, and logMost wait for whoever reads them; the rest is lost, since no decision may wait for a log.
+const (
+	logBurst = 50
+	logMost  = 1000
+)
 
 func main() {
+	flags := flag.NewFlagSet("madderhollow", flag.ExitOnError)
+	page := flags.String("status", "", "address of the operators' page; none if empty")
+	flags.Parse(os.Args[1:])
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "madderhollow:", err)
@@ -45,16 +55,14 @@
 	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB) * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := serve(ctx, cfg, os.Stderr); err != nil {
+	if err := serve(ctx, cfg, *page, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, "madderhollow:", err)
 		os.Exit(1)
 	}
 }
 
 // serve wires the parts and runs them until the context ends.
-func serve(ctx context.Context, cfg *config.Config, logs io.Writer) error {
-	log := zerolog.New(logs).With().Timestamp().Str("assigner", cfg.Name).Logger().
-		Sample(&zerolog.BurstSampler{Burst: logBurst, Period: time.Second})
+func serve(ctx context.Context, cfg *config.Config, page string, logs io.Writer) (err error) {
 	began := time.Now()
 	codec := wire.NewCodec(cfg.Settings, began.Add(-time.Duration(host.Start*float64(time.Second))))
 	known, err := codec.Listed(cfg.Known)
@@ -65,9 +73,14 @@
 	if err != nil {
 		return err
 	}
+	defer l.Close()
+	lines := diode.NewWriter(logs, logMost, 0, func(int) {})
+	defer lines.Close()
+	log := zerolog.New(lines).With().Timestamp().Str("assigner", cfg.Name).Logger().
+		Sample(&zerolog.BurstSampler{Burst: logBurst, Period: time.Second})
 	chance := rand.New(rand.NewSource(cfg.Seed))
 	x := exchange.New(codec, log)
-	watch := discovery.New(cfg.Discovery, codec, x.Post, chance.Int63(), log)
+	watch := discovery.New(cfg.Discovery, known.Version, codec, x.Post, chance.Int63(), log)
 	calls := relay.NewCaller(cfg.Relay, x, chance.Int63(), log)
 	news := relay.NewReader(cfg.Relay, codec, x.Post, chance.Int63(), log)
 	server := intake.New(codec, x.Post, cfg.Sockets, log)
@@ -76,12 +89,22 @@
 	if cfg.MayTell() {
 		peers, err := peer.Open(cfg.PeerListen, cfg.PeersAll, cfg.Peers, x.Post, log)
 		if err != nil {
-			l.Close()
 			return err
 		}
 		ports.Tell = peers.Tell
 		parts = append(parts, peers.Run)
 	}
+	if page != "" {
+		p, err := net.Listen("tcp", page)
+		if err != nil {
+			return fmt.Errorf("status: %w", err)
+		}
+		parts = append(parts, func(ctx context.Context) {
+			if err := status.Serve(ctx, p, func() map[string]any { return counters(x.Look()) }); err != nil {
+				log.Error().Err(err).Msg("status page ended")
+			}
+		})
+	}
 	h := host.New(cfg.Seed, cfg.Settings, x, ports, began, log)
 	ready := make(chan struct{})
 	parts = append(parts,
@@ -94,6 +117,14 @@
 		go func() { defer wg.Done(); run(ctx) }()
 	}
 	wg.Wait()
-	log.Info().Msg("ended")
+	log.Info().Fields(counters(x.Look())).Msg("ended")
 	return nil
 }
+
+func counters(c exchange.Counts) map[string]any {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return map[string]any{"turns": c.Turns, "events": c.Events, "proxies": c.Proxies, "calls": c.Calls, "calls_again": c.Again,
+		"orders_folded": c.Folded, "orders_waiting": c.Waiting, "waited_most_ms": c.Waited.Milliseconds(),
+		"goroutines": runtime.NumGoroutine(), "heap_kb": m.HeapAlloc >> 10}
+}
--- /dev/null
+++ b/cmd/madderhollow/main_test.go
@@ -0,0 +1,325 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"madderhollow/internal/config"
+	"madderhollow/internal/standin"
+)
+
+const soon = 10 * time.Second
+
+// TestMain runs the program itself where a test starts its own binary again.
+func TestMain(m *testing.M) {
+	if os.Getenv("MADDERHOLLOW_MAIN") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// program is a started assigner; its log comes line by line.
+type program struct {
+	*exec.Cmd
+	log   *bytes.Buffer
+	ended chan error
+}
+
+func start(t *testing.T, config string, args ...string) *program {
+	t.Helper()
+	p := &program{Cmd: exec.Command(os.Args[0], args...), log: &bytes.Buffer{}, ended: make(chan error, 1)}
+	p.Env = []string{"MADDERHOLLOW_MAIN=1", "EDGE_CONFIG=" + config}
+	p.Stderr, p.Stdout = p.log, p.log
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.ended <- p.Wait() }()
+	t.Cleanup(func() { p.Process.Kill() })
+	return p
+}
+
+// text ends the program, if need be, and gives its log.
+func (p *program) text() string {
+	p.Process.Kill()
+	if err, ok := <-p.ended; ok {
+		close(p.ended)
+		return fmt.Sprint(p.log, err)
+	}
+	return p.log.String()
+}
+
+func (p *program) end(t *testing.T) error {
+	t.Helper()
+	select {
+	case err := <-p.ended:
+		close(p.ended)
+		return err
+	case <-time.After(soon):
+		t.Fatal("it does not end")
+		return nil
+	}
+}
+
+func free(t *testing.T, network string) string {
+	t.Helper()
+	if network == "udp" {
+		c, err := net.ListenPacket(network, "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		return c.LocalAddr().String()
+	}
+	l, err := net.Listen(network, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+type place struct {
+	relay          *standin.Relay
+	agent          *standin.Discovery
+	listen, status string
+	path           string
+	collectors     map[string]*standin.Collector
+}
+
+// platform is a relay, discovery and a configuration for one assigner among them.
+func platform(t *testing.T) *place {
+	t.Helper()
+	p := &place{listen: free(t, "tcp"), status: free(t, "tcp"), path: filepath.Join(t.TempDir(), "config.json"), collectors: map[string]*standin.Collector{}}
+	var list []standin.Endpoint
+	for i := range 12 {
+		list = append(list, standin.Endpoint{Name: fmt.Sprint("s-", i), Address: "10.0.0.1:1", Zone: string("xyz"[i%3]), Type: "m",
+			Status: "active", Weight: 1})
+	}
+	var err error
+	if p.relay, err = standin.NewRelay("read", "sign"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.relay.Close)
+	if p.agent, err = standin.NewDiscovery(5, list...); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.agent.Close)
+	known := p.agent.List()
+	known.Index = 4
+	peer := free(t, "udp")
+	b, err := json.Marshal(map[string]any{"name": "n1", "listen": p.listen, "discovery": p.agent.Address(), "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256}, "relay": map[string]any{"address": p.relay.Address()},
+		"known": known, "peer_listen": peer, "peers": []string{peer}, "peers_all": peer, "settings": standin.Settings()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(p.path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func (p *place) collect(t *testing.T) {
+	t.Helper()
+	for _, zone := range []string{"x", "y", "z"} {
+		var c *standin.Collector
+		if !standin.Until(soon, func() (ok bool) {
+			var err error
+			c, err = standin.Dial(p.listen, zone)
+			return err == nil
+		}) {
+			t.Fatal("nobody listens")
+		}
+		t.Cleanup(c.Close)
+		if err := c.Ping(soon); err != nil {
+			t.Fatal(err)
+		}
+		p.collectors[zone] = c
+	}
+}
+
+// holds tells whether every joined proxy is bound, for every class, to a table that has lines, none of them this task's.
+func (p *place) holds(without string) (ok bool) {
+	p.relay.Look(func() {
+		ok = len(p.relay.Proxies) > 0
+		for _, x := range p.relay.Proxies {
+			ok = ok && len(x.Tables) == 2
+			for _, table := range x.Tables {
+				lines := p.relay.Tables[table]
+				ok = ok && len(lines) > 0 && lines[without] == 0
+			}
+		}
+	})
+	return ok
+}
+
+// A whole small life: it answers pings, takes up proxies, keeps a drain, goes on after the relay broke calls and
+// news and discovery failed, sets levels under overload, and ends at SIGTERM.
+func TestALife(t *testing.T) {
+	p := platform(t)
+	a := start(t, p.path, "-status", p.status)
+	p.collect(t)
+	for i := range 6 {
+		p.relay.Join(i, string("xyz"[i%3]), 20, false) // they hold what nobody here knows: each must be bound anew
+	}
+	if !standin.Until(soon, func() bool { return p.holds("") }) {
+		t.Fatalf("proxies are not bound\n%s", a.text())
+	}
+	drain := standin.Endpoint{Name: "s-0", Zone: "x", Type: "m", Status: "leaving", Weight: 1}
+	p.agent.Change(drain)
+	if !standin.Until(soon, func() bool { return p.holds("s-0") }) {
+		t.Fatalf("the drain is not kept\n%s", a.text())
+	}
+	var broken, asked atomic.Int32
+	p.relay.Look(func() {
+		p.relay.OnCall = func([]string) standin.Break {
+			return []standin.Break{standin.LostBefore, standin.GarbledAfter, standin.LostAfter, standin.SilentBefore,
+				standin.Fine}[min(broken.Add(1)-1, 4)]
+		}
+	})
+	p.relay.CutNews("event: joined\ndata: node=")
+	p.agent.OnAsk(func(w http.ResponseWriter, _ *http.Request) bool {
+		bad := asked.Add(1) < 3
+		if bad {
+			io.WriteString(w, "}")
+		}
+		return bad
+	})
+	drain.Name, drain.Zone = "s-4", "y"
+	p.agent.Change(drain)
+	if !standin.Until(soon, func() bool { return p.holds("s-4") }) {
+		t.Fatalf("the drain is not kept when all breaks\n%s", a.text())
+	}
+	level := standin.Until(2*soon, func() (set bool) {
+		for zone, c := range p.collectors {
+			for i := range 12 {
+				c.Heard(fmt.Sprint("s-", i), 2, 1, 2900, 1)
+			}
+			for node := range 6 {
+				if string("xyz"[node%3]) == zone {
+					c.Usage(node, "read", 100)
+				}
+			}
+		}
+		time.Sleep(100 * time.Millisecond) // a report's pace
+		p.relay.Look(func() {
+			for _, v := range p.relay.Levels {
+				set = set || v != "1000000000"
+			}
+		})
+		return set
+	})
+	if !level {
+		t.Errorf("no level is set under overload\n%s", a.text())
+	}
+	resp, err := http.Get("http://" + p.status + "/healthz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var health map[string]any
+	if err := json.NewDecoder(resp.Body).Decode(&health); err != nil || health["proxies"] != 6.0 || health["turns"].(float64) < 5 {
+		t.Errorf("status %v (%v)", health, err)
+	}
+	resp.Body.Close()
+	http.DefaultClient.CloseIdleConnections()
+	a.Process.Signal(syscall.SIGTERM)
+	if err := a.end(t); err != nil {
+		t.Errorf("SIGTERM: %v\n%s", err, a.text())
+	}
+	for s := bufio.NewScanner(a.log); s.Scan(); {
+		if !json.Valid(s.Bytes()) {
+			t.Errorf("log line %q", s.Text())
+		}
+	}
+}
+
+// After its end nothing is left of it: no goroutine, no descriptor, and its addresses are free at once.
+func TestNothingIsLeft(t *testing.T) {
+	p := platform(t)
+	t.Setenv("EDGE_CONFIG", p.path)
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	files := func() int {
+		l, err := os.ReadDir("/proc/self/fd")
+		if err != nil {
+			t.Skip("descriptors cannot be counted here")
+		}
+		return len(l)
+	}
+	life := func() {
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- serve(ctx, cfg, p.status, io.Discard) }()
+		p.collect(t)
+		p.relay.Join(1, "x", 20, false)
+		if !standin.Until(soon, func() bool { return p.holds("") }) {
+			t.Error("the proxy is not bound")
+		}
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		for _, c := range p.collectors {
+			c.Close()
+		}
+	}
+	life()
+	goroutines, descriptors := 0, 0
+	standin.Until(soon, func() bool { // the stand-ins' servers end their sides on their own
+		g, d := runtime.NumGoroutine(), files()
+		same := g == goroutines && d == descriptors
+		goroutines, descriptors = g, d
+		return same
+	})
+	for range 3 {
+		life()
+	}
+	if !standin.Until(soon, func() bool { return runtime.NumGoroutine() <= goroutines && files() <= descriptors }) {
+		t.Errorf("%d goroutines and %d descriptors became %d and %d", goroutines, descriptors, runtime.NumGoroutine(), files())
+	}
+}
+
+// Without a usable configuration it says so in one line and ends before it listens.
+func TestUnusableConfiguration(t *testing.T) {
+	p := platform(t)
+	good, err := os.ReadFile(p.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, change := range []string{"", "{", `"relay"|"x"`, `"settings"|"x"`, `"known"|"x"`, `8c1f30d27a5be964|seed`, `"status":"active"|"status":"odd"`,
+		`"listen":"127|"listen":"nowhere`} {
+		path := ""
+		if old, fresh, ok := strings.Cut(change, "|"); ok || change != "" {
+			path = filepath.Join(t.TempDir(), "bad.json")
+			text := change
+			if ok {
+				text = strings.Replace(string(good), old, fresh, 1)
+			}
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		a := start(t, path)
+		if err := a.end(t); err == nil || strings.Count(a.log.String(), "\n") != 1 || !strings.HasPrefix(a.log.String(), "madderhollow: ") {
+			t.Errorf("%q: %v\n%s", change, err, a.text())
+		}
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -52,13 +52,14 @@
 	asked   atomic.Bool // the module asked for the list, so it is told of failures
 	fetch   atomic.Bool // it wants the whole list
 
-	version int // of the list held; -1: none from discovery yet
-	lower   int // whole lists in a row that were older
+	version int  // of the list held
+	begun   bool // it came from discovery in this life
+	lower   int  // whole lists in a row that were older
 }
 
-// New makes a watcher of the agent at an address.
-func New(address string, codec *wire.Codec, sink Sink, seed int64, log zerolog.Logger) *Watcher {
-	return &Watcher{address: address, codec: codec, sink: sink, log: log, version: -1, rng: rand.New(rand.NewSource(seed))}
+// New makes a watcher of the agent at an address; known is the version of the list that the module starts with.
+func New(address string, known int, codec *wire.Codec, sink Sink, seed int64, log zerolog.Logger) *Watcher {
+	return &Watcher{address: address, version: known, codec: codec, sink: sink, log: log, rng: rand.New(rand.NewSource(seed))}
 }
 
 // Follow is the module's wish for changes. They are watched all the time, since the agent answers at no cost;
@@ -81,7 +82,7 @@
 		}
 		w.log.Warn().Err(err).Msg("discovery: the old list stays")
 		if w.asked.Load() {
-			if w.sink(ctx, assign.Listed{Version: max(0, w.version), Failed: true}) != nil {
+			if w.sink(ctx, assign.Listed{Version: w.version, Failed: true}) != nil {
 				return
 			}
 		}
@@ -106,7 +107,7 @@
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	r := bufio.NewReader(conn)
 	for {
-		whole := w.version < 0 || w.lower > 0 || w.fetch.Swap(false)
+		whole := !w.begun || w.lower > 0 || w.fetch.Swap(false)
 		l, last, err := w.ask(conn, r, whole)
 		if err != nil {
 			return news, err
@@ -120,7 +121,7 @@
 			return news, fmt.Errorf("a list of version %d after one of version %d", l.Version, w.version)
 		case l.Version < w.version:
 			w.log.Warn().Int("version", l.Version).Int("held", w.version).Msg("discovery counts its versions anew")
-		case w.version < 0 && !l.Whole:
+		case !w.begun && !l.Whole:
 			return news, errors.New("changes where the whole list was asked for")
 		}
 		if l.Whole || len(l.Entries) > 0 {
@@ -128,7 +129,7 @@
 				return news, err
 			}
 		}
-		news, w.version, w.lower = true, l.Version, 0
+		news, w.begun, w.version, w.lower = true, true, l.Version, 0
 		if last {
 			return news, errors.New("the agent closes the connection")
 		}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,168 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"reflect"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"madderhollow/assign"
+	"madderhollow/internal/standin"
+	"madderhollow/internal/wire"
+)
+
+const soon = 10 * time.Second
+
+func entry(name, status string) standin.Endpoint {
+	return standin.Endpoint{Name: name, Zone: "a", Status: status, Weight: 1}
+}
+
+// bench is an agent and a watcher; news is what the module would be told.
+type bench struct {
+	*standin.Discovery
+	w    *Watcher
+	news chan assign.Listed
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	return benchFrom(t, 40)
+}
+
+func benchFrom(t *testing.T, known int) *bench {
+	t.Helper()
+	d, err := standin.NewDiscovery(41, entry("s", "active"), entry("u", "active"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{Discovery: d, news: make(chan assign.Listed, 1000)}
+	sink := func(_ context.Context, e assign.Event) error { b.news <- e.(assign.Listed); return nil }
+	b.w = New(d.Address(), known, wire.NewCodec(assign.Settings{}, time.Now()), sink, 1, zerolog.Nop())
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() { defer wg.Done(); b.w.Run(ctx) }()
+	t.Cleanup(func() { stop(); wg.Wait(); d.Close() })
+	if l := b.next(t); l.Version != 41 || !l.Whole || len(l.Entries) != 2 {
+		t.Fatalf("first came %+v", l)
+	}
+	return b
+}
+
+func (b *bench) next(t *testing.T) assign.Listed {
+	t.Helper()
+	select {
+	case l := <-b.news:
+		return l
+	case <-time.After(soon):
+		t.Fatal("no news")
+		return assign.Listed{}
+	}
+}
+
+// After the list come changes, each once, over one watch.
+func TestChangesFollowTheList(t *testing.T) {
+	b := newBench(t)
+	var calls atomic.Int32
+	gap, last := time.Duration(0), time.Now()
+	b.OnAsk(func(w http.ResponseWriter, r *http.Request) bool {
+		if calls.Add(1) > 1 {
+			gap = max(gap, time.Since(last))
+		}
+		if r.FormValue("after") == "" {
+			t.Error("the whole list was asked for again")
+		}
+		return false
+	})
+	for i, status := range []string{"leaving", "left", "active"} {
+		last = time.Now()
+		b.Change(entry("s", status))
+		want := assign.Listed{Version: 42 + i, Entries: []assign.Entry{{Zone: "a", Task: "s", Size: 1, State: []assign.State{
+			assign.Draining, assign.Gone, assign.Ready}[i]}}}
+		if l := b.next(t); !reflect.DeepEqual(l, want) {
+			t.Errorf("got %+v, want %+v", l, want)
+		}
+	}
+}
+
+// Whatever discovery does instead of answering, the old list stays, the module is told if it asked, and the
+// next good answer is taken.
+func TestBadAnswersLeaveTheOldList(t *testing.T) {
+	for name, answer := range map[string]func(http.ResponseWriter, *http.Request){
+		"error":   func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		"garbage": func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "\x00\xff{") },
+		"half": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			fmt.Fprint(w, `{"index":99,"snapshot":true,`)
+		},
+		"reset":  func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"silent": func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"older": func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, `{"index":7,"snapshot":true,"endpoints":[]}`)
+		},
+		"backward": func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, `{"index":7,"snapshot":false,"endpoints":[]}`)
+		},
+		"unknown": func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, `{"index":99,"snapshot":false,"endpoints":[{"name":"s","status":"odd"}]}`)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t)
+			b.w.Follow(true)
+			var bad atomic.Int32
+			var changed atomic.Bool
+			b.OnAsk(func(w http.ResponseWriter, r *http.Request) bool {
+				if bad.Add(1) > 2 && changed.Load() {
+					return false
+				}
+				answer(w, r)
+				return true
+			})
+			standin.Until(soon, func() bool { return bad.Load() > 0 }) // the watch that waited is over
+			b.Change(entry("s", "leaving"))
+			changed.Store(true)
+			failed := 0
+			for l := b.next(t); ; l = b.next(t) {
+				if l.Failed {
+					failed++
+					if l.Version != 41 || l.Whole || l.Entries != nil {
+						t.Errorf("failure came as %+v", l)
+					}
+					continue
+				}
+				if l.Version == 41 || len(l.Entries) == 0 {
+					t.Errorf("got %+v", l)
+				}
+				if l.Version == 42 {
+					break
+				}
+			}
+			if failed < 1 {
+				t.Error("the module was told of no failure")
+			}
+		})
+	}
+}
+
+// Versions that stay lower are counted anew: the list is taken, or no drain would be heard of any more.
+func TestVersionsStartOver(t *testing.T) {
+	b := newBench(t)
+	b.Restart(3)
+	b.Change(entry("u", "leaving"))
+	if l := b.next(t); l.Version != 4 || !l.Whole || len(l.Entries) != 2 {
+		t.Errorf("got %+v", l)
+	}
+	b = benchFrom(t, 50) // and so they are where the list known at the start came before that
+	b.w.Fetch()
+	if l := b.next(t); l.Version != 41 || !l.Whole {
+		t.Errorf("asked for, got %+v", l)
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -46,13 +46,15 @@
 	called []joinedMarks     // marks that went out as one
 	bound  map[int]time.Time // when a binding last went out, by proxy, since its stream stands
 	lives  map[int]int       // how often a proxy was told to have come or gone
+	joined map[int]bool
 	counts Counts
 }
 
-// Counts are for operators: Waited is the longest that orders stood here since the last look.
+// Counts are for operators: calls made and made again, orders folded and waiting, and the longest that any
+// waited here.
 type Counts struct {
-	Calls, Again, Folded, Waiting int
-	Waited                        time.Duration
+	Turns, Events, Proxies, Calls, Again, Folded, Waiting int
+	Waited                                                time.Duration
 }
 
 // entry is one encoded order that waits. Tried: the mark of a call that may have carried it out; -1: none.
@@ -89,7 +91,7 @@
 // New returns an empty exchange.
 func New(codec *wire.Codec, log zerolog.Logger) *Exchange {
 	return &Exchange{events: make(chan assign.Event, eventsMost), codec: codec, log: log,
-		wake: make(chan struct{}, 1), places: map[key]int{}, bound: map[int]time.Time{}, lives: map[int]int{}}
+		wake: make(chan struct{}, 1), places: map[key]int{}, bound: map[int]time.Time{}, lives: map[int]int{}, joined: map[int]bool{}}
 }
 
 // Look gives the counts.
@@ -97,8 +99,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	c := x.counts
-	c.Waiting = len(x.places)
-	x.counts.Waited = 0
+	c.Waiting, c.Proxies = len(x.places), len(x.joined)
 	return c
 }
 
@@ -123,6 +124,8 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	out := make([]assign.Event, 0, len(events))
+	x.counts.Turns++
+	x.counts.Events += len(events)
 	for _, e := range events {
 		switch e := e.(type) {
 		case assign.Applied:
@@ -137,6 +140,7 @@
 			x.forget(func(w *entry) bool { return w.tried == e.Mark }) // a proxy answers: the call was carried out
 		case assign.Joined:
 			x.unbind(e.Proxy)
+			x.joined[e.Proxy] = true
 			if _, ok := x.bound[e.Proxy]; ok {
 				e.Fresh = false
 			}
@@ -144,6 +148,7 @@
 			continue
 		case assign.Left:
 			x.unbind(e.Proxy)
+			delete(x.joined, e.Proxy)
 			if time.Since(x.bound[e.Proxy]) > bindLate {
 				delete(x.bound, e.Proxy)
 			}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -36,7 +36,6 @@
 	began  time.Time
 	least  float64 // between turns, by the settings
 	timers []timer // by due time, then in the order they were set
-	turns  int
 }
 
 type timer struct {
@@ -103,7 +102,6 @@
 }
 
 func (h *Host) turn(now float64, events []assign.Event) {
-	h.turns++
 	var out []assign.Order
 	for _, o := range h.a.Handle(now, h.x.Told(events)) {
 		switch o := o.(type) {
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -27,8 +27,9 @@
 	dialWithin = 300 * time.Millisecond
 	// idleMost: the relay closes a connection idle for 10 s or less; a call into one that closes is in doubt.
 	idleMost = 2 * time.Second
-	// againFirst and againMost bound the pauses after failed calls; the rules wait half a second for one.
-	againFirst, againMost = 5 * time.Millisecond, 200 * time.Millisecond
+	// againFirst and againMost bound the pauses after failed calls: the rules wait half a second for one, and of
+	// the connections tried in half a minute without the relay it may hold 32.
+	againFirst, againMost = 5 * time.Millisecond, 400 * time.Millisecond
 	// busyAgain is the pause after BUSY, which ends when the run begins.
 	busyAgain = 50 * time.Millisecond
 	// syntaxMost is how often a call that the relay cannot read is tried, lest a fault of ours block the rest.
