Marks go last, so that a receipt proves the whole call; calls that never went out count for nothing

Seen: the random test of broken calls: two lines of a turn never reached the relay. Checked: each lost line stood behind an order that the relay does not take. Cause: a call in doubt had stopped there, yet its mark, being first, was answered, and exchange.Told took the whole call for carried out. With the mark last a receipt proves all of it. Excluded: folding (the same turns without breaks hold), the order of calls (one at a time). Also: calls that were never sent counted towards the messages a proxy may get, so that after an outage orders would have been held back; and calls in doubt in a row waited without growing.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -28,9 +28,11 @@
 	// bindLate is how long after a binding went out a proxy that joins may have got it for its new stream:
 	// the news of the old one's end may have been on its way. Both ways take milliseconds.
 	bindLate = time.Second
-	// receiptMost is how long a call in doubt waits for its receipt, where the settings' mean way of a message
-	// is no shorter: the rules wait half a second for a call that broke.
-	receiptMost, receiptLeast = 400 * time.Millisecond, 50 * time.Millisecond
+	// receiptMost is how long a call in doubt waits for its receipt at most: the rules wait half a second for
+	// a call that broke. The first of several in a row waits as long as a message takes by the settings.
+	receiptMost, receiptLeast = 480 * time.Millisecond, 50 * time.Millisecond
+	// inRow is how soon after a wait another call in doubt counts as the next of a row.
+	inRow = time.Second
 	// spanMore is added to the span over which messages to a proxy are counted: they are counted elsewhere,
 	// when they have arrived.
 	spanMore = 300 * time.Millisecond
@@ -56,8 +58,9 @@
 	lives  map[int]int       // how often a proxy was told to have come or gone
 	counts Counts
 
-	receipt time.Duration // what a call in doubt waits for its receipt
-	until   time.Time     // and when the one waiting has waited enough
+	receipt time.Duration // what the first call in doubt waits for its receipt
+	wait    time.Duration // and the last one did
+	until   time.Time     // when it has waited enough
 	most    int           // messages to a proxy within span; 0: no limit
 	span    time.Duration
 	joined  map[int]*reached
@@ -100,11 +103,12 @@
 
 // Call is what goes to the relay at once.
 type Call struct {
-	Orders  []string // the mark, if any, is first: it holds for the whole call, also where that stops midway
+	Orders  []string // the mark, if any, is last: its receipt says that all before it was taken
 	entries []*entry
 	marks   []int
 	every   bool
 	shared  bool // another call has the same mark: its receipt says nothing of this one
+	at      time.Time
 }
 
 // New returns an empty exchange. Of the settings it keeps the limit on messages to a proxy, which calls made
@@ -165,7 +169,7 @@
 				}
 			}
 			if x.forget(func(w *entry) bool { return w.tried == e.Mark }) { // a proxy answers: the call was carried out
-				x.until = time.Time{}
+				x.until = time.Now()
 				x.ring()
 			}
 		case assign.Joined:
@@ -399,14 +403,7 @@
 // note writes a call out and keeps what its going out means for later.
 func (x *Exchange) note(c *Call, now time.Time) {
 	x.counts.Calls++
-	if n := len(c.marks); n > 0 {
-		text, _ := x.codec.Order(assign.Mark{Mark: c.marks[n-1], Everyone: c.every})
-		c.Orders = append(c.Orders, text)
-		if n > 1 {
-			x.called = append(x.called, joinedMarks{c.marks[n-1], c.marks[:n-1]})
-			x.called = x.called[max(0, len(x.called)-marksMost):]
-		}
-	}
+	c.at = now
 	got := map[*reached]bool{}
 	for _, w := range c.entries {
 		c.Orders = append(c.Orders, w.text)
@@ -419,6 +416,14 @@
 		}
 		x.reaches(w.order, func(p *reached) { got[p] = true })
 	}
+	if n := len(c.marks); n > 0 {
+		text, _ := x.codec.Order(assign.Mark{Mark: c.marks[n-1], Everyone: c.every})
+		c.Orders = append(c.Orders, text)
+		if n > 1 {
+			x.called = append(x.called, joinedMarks{c.marks[n-1], c.marks[:n-1]})
+			x.called = x.called[max(0, len(x.called)-marksMost):]
+		}
+	}
 	for _, p := range x.joined {
 		if got[p] || c.every {
 			p.wrote = append(p.wrote, now)
@@ -434,11 +439,14 @@
 	later := x.queue
 	x.queue, x.places = nil, map[key]int{}
 	x.counts.Again++
-	if fences := len(c.Orders) - len(c.entries); from > 0 {
-		if from -= fences; from == 0 && fences > 0 { // it was the mark that was not taken
-			c.marks, c.every = nil, false
+	if from == 0 && !unsure { // nobody got it: while the relay is away no message counts
+		for _, p := range x.joined {
+			p.wrote = slices.DeleteFunc(p.wrote, func(at time.Time) bool { return at.Equal(c.at) })
 		}
 	}
+	if from > len(c.entries) { // it was the mark that was not taken
+		c.marks, c.every = nil, false
+	}
 	for _, w := range c.entries[min(from, len(c.entries)):] {
 		if b, ok := w.order.(assign.Bind); ok && w.life != x.lives[b.Proxy] {
 			continue // its stream is not the one that this was decided for
@@ -448,16 +456,19 @@
 		}
 		x.add(w)
 	}
-	x.until = time.Time{}
-	if unsure && !c.shared && len(c.marks) > 0 {
-		x.until = time.Now().Add(x.receipt)
+	if unsure {
+		if x.wait *= 2; time.Since(x.until) > inRow {
+			x.wait = x.receipt
+		}
+		x.wait = min(x.wait, receiptMost)
+		x.until = time.Now().Add(x.wait)
 	}
 	for _, w := range later {
 		if w != nil {
 			x.add(w)
 		}
 	}
-	x.shared = len(x.marks) == 0 && (c.shared || from > 0)
+	x.shared = len(x.marks) == 0 && c.shared
 	marks := slices.Clone(c.marks)
 	for _, m := range x.marks {
 		if !slices.Contains(marks, m) {
