Bound collectors too: the one silent longest goes; standing on sockets

Found by adding up the bounds: 960 connections that only say they are collectors, each with a line of 1 MiB under way, would pass 192 MB. At most 32 stay, tested.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -25,8 +25,9 @@
 	strangerMost = 16 << 10
 	// spare descriptors of the limit stay for what is no client: listener, relay, discovery, peers, runtime.
 	spare = 64
-	// collectorsMost stay open; there is one a zone, and the remains of broken ones.
-	collectorsMost = 64
+	// collectorsMost stay open, each with a line of up to 1 MiB under way: there is one a zone, and the remains of
+	// broken ones. Who only says that it is one must not fill the memory.
+	collectorsMost = 32
 	// pongWithin is how long an answer to a ping may stay unread.
 	pongWithin = time.Second
 	// acceptAgain is the pause after a failed accept, so that a lack of descriptors burns no core.
@@ -79,7 +80,7 @@
 				return
 			}
 			s.log.Warn().Err(err).Msg("accept failed")
-			s.evict()
+			s.evict(true)
 			time.Sleep(acceptAgain)
 			continue
 		}
@@ -93,7 +94,7 @@
 		full := len(s.clients) > s.most
 		s.mu.Unlock()
 		if full {
-			s.evict()
+			s.evict(true)
 		}
 		wg.Add(1)
 		go func() {
@@ -114,27 +115,26 @@
 	s.mu.Unlock()
 }
 
-// evict closes the stranger that has been silent longest, or such a collector where there are too many.
-func (s *Server) evict() {
+// evict closes the collector that was silent longest where there are too many, else, where it must be, such a
+// stranger.
+func (s *Server) evict(must bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var old [2]*client
-	collectors := 0
+	var n [2]int
 	for c := range s.clients {
 		i := 0
 		if c.collector.Load() {
 			i = 1
-			collectors++
 		}
-		if old[i] == nil || c.heard.Load() < old[i].heard.Load() {
+		if n[i]++; old[i] == nil || c.heard.Load() < old[i].heard.Load() {
 			old[i] = c
 		}
 	}
-	switch {
-	case old[0] != nil:
-		old[0].conn.Close()
-	case collectors > collectorsMost:
+	if n[1] > collectorsMost {
 		old[1].conn.Close()
+	} else if must && old[0] != nil {
+		old[0].conn.Close()
 	}
 }
 
@@ -197,6 +197,7 @@
 		}
 	case wire.Collector:
 		c.collector.Store(true)
+		s.evict(false)
 		s.log.Info().Str("zone", m.Zone).Msg("collector connected")
 	default:
 		if !c.collector.Load() {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -181,3 +181,26 @@
 		t.Error(err)
 	}
 }
+
+// Nor may those that only say they are collectors pile up: the one silent longest goes.
+func TestTooManyCollectors(t *testing.T) {
+	address, got, s := open(t, 1000)
+	first := dial(t, address)
+	first.Usage(1, "read", 1)
+	next(t, got)
+	var last *standin.Collector
+	for i := range collectorsMost {
+		last = dial(t, address)
+		last.Usage(1, "read", i)
+		next(t, got)
+	}
+	if err := first.Ping(soon); err == nil {
+		t.Error("the first is still there")
+	}
+	if err := last.Ping(soon); err != nil {
+		t.Error(err)
+	}
+	if !standin.Until(soon, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.clients) == collectorsMost }) {
+		t.Errorf("%d connections are open", len(s.clients))
+	}
+}
