--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -24,13 +24,14 @@
 const (
 	// answerWithin: the answer arrives within 50 ms or never; a busy machine gets as much again and more.
 	answerWithin = 200 * time.Millisecond
-	// dialWithin: a connection on the platform's network is up in milliseconds or never.
-	dialWithin = 300 * time.Millisecond
+	// dialWithin: a connection on the platform's network is up in milliseconds or never; one that was begun while
+	// the relay was away may never come up after its return, so that a long wait would cost a drain.
+	dialWithin = 150 * time.Millisecond
 	// idleMost: the relay closes a connection idle for 10 s or less; a call into one that closes is in doubt.
 	idleMost = 2 * time.Second
-	// againFirst and againMost bound the pauses after failed calls: the rules wait half a second for one, and of
-	// the connections tried in half a minute without the relay it may hold 32.
-	againFirst, againMost = 5 * time.Millisecond, 400 * time.Millisecond
+	// againFirst and againMost bound the pauses after calls that never went out: a drain's grace runs on while
+	// the relay is away, so its return must be met at once. Connections that do not come up cost it nothing.
+	againFirst, againMost = 5 * time.Millisecond, 60 * time.Millisecond
 	// busyAgain is the pause after BUSY, which ends when the run begins.
 	busyAgain = 50 * time.Millisecond
 	// syntaxMost is how often a call that the relay cannot read is tried, lest a fault of ours block the rest.
--- a/internal/relay/news.go
+++ b/internal/relay/news.go
@@ -26,7 +26,7 @@
 	// headWithin is what the stream's beginning may take.
 	headWithin = time.Second
 	// newsFirst and newsMost bound the pauses between tries; the rules wait 4 s for the only stream of news.
-	newsFirst, newsMost = 10 * time.Millisecond, 400 * time.Millisecond
+	newsFirst, newsMost = 10 * time.Millisecond, 100 * time.Millisecond
 )
 
 // Sink takes an event; it may wait.
