--- a/cmd/madderhollow/main.go
+++ b/cmd/madderhollow/main.go
@@ -26,8 +26,10 @@
 	"madderhollow/internal/exchange"
 	"madderhollow/internal/host"
 	"madderhollow/internal/intake"
+	"madderhollow/internal/moving"
 	"madderhollow/internal/peer"
 	"madderhollow/internal/relay"
+	"madderhollow/internal/reload"
 	"madderhollow/internal/status"
 	"madderhollow/internal/wire"
 )
@@ -43,6 +45,8 @@
 )
 
 func main() {
+	hup := make(chan os.Signal, 1) // first of all: without it the signal ends the process
+	signal.Notify(hup, syscall.SIGHUP)
 	flags := flag.NewFlagSet("madderhollow", flag.ExitOnError)
 	page := flags.String("status", "", "address of the operators' page; none if empty")
 	flags.Parse(os.Args[1:])
@@ -55,14 +59,14 @@
 	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB) * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := serve(ctx, cfg, *page, os.Stderr); err != nil {
+	if err := serve(ctx, cfg, hup, *page, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, "madderhollow:", err)
 		os.Exit(1)
 	}
 }
 
 // serve wires the parts and runs them until the context ends.
-func serve(ctx context.Context, cfg *config.Config, page string, logs io.Writer) (err error) {
+func serve(ctx context.Context, cfg *config.Config, hup <-chan os.Signal, page string, logs io.Writer) (err error) {
 	began := time.Now()
 	codec := wire.NewCodec(cfg.Settings, began.Add(-time.Duration(host.Start*float64(time.Second))))
 	known, err := codec.Listed(cfg.Known)
@@ -80,12 +84,14 @@
 		Sample(&zerolog.BurstSampler{Burst: logBurst, Period: time.Second})
 	chance := rand.New(rand.NewSource(cfg.Seed))
 	x := exchange.New(cfg.Settings, codec, log)
-	watch := discovery.New(cfg.Discovery, known.Version, codec, x.Post, chance.Int63(), log)
-	calls := relay.NewCaller(cfg.Relay, x, chance.Int63(), log)
-	news := relay.NewReader(cfg.Relay, codec, x.Post, chance.Int63(), log)
+	agentAt, relayAt := moving.At(cfg.Discovery), moving.At(cfg.Relay)
+	watch := discovery.New(agentAt, known.Version, codec, x.Post, chance.Int63(), log)
+	calls := relay.NewCaller(relayAt, x, chance.Int63(), log)
+	news := relay.NewReader(relayAt, codec, x.Post, chance.Int63(), log)
 	server := intake.New(codec, x.Post, cfg.Sockets, log)
 	ports := host.Ports{Follow: watch.Follow, Fetch: watch.Fetch, Tell: func(int, []byte) {}}
-	parts := []func(context.Context){watch.Run, calls.Run, news.Run}
+	parts := []func(context.Context){watch.Run, calls.Run, news.Run,
+		func(ctx context.Context) { reload.Run(ctx, hup, cfg.Path, agentAt, relayAt, log) }}
 	if cfg.MayTell() {
 		peers, err := peer.Open(cfg.PeerListen, cfg.PeersAll, cfg.Peers, x.Post, log)
 		if err != nil {
@@ -100,7 +106,7 @@
 			return fmt.Errorf("status: %w", err)
 		}
 		parts = append(parts, func(ctx context.Context) {
-			if err := status.Serve(ctx, p, func() map[string]any { return counters(x.Look()) }); err != nil {
+			if err := status.Serve(ctx, p, func() map[string]any { return counters(x.Look(), server.Look()) }); err != nil {
 				log.Error().Err(err).Msg("status page ended")
 			}
 		})
@@ -117,14 +123,15 @@
 		go func() { defer wg.Done(); run(ctx) }()
 	}
 	wg.Wait()
-	log.Info().Fields(counters(x.Look())).Msg("ended")
+	log.Info().Fields(counters(x.Look(), server.Look())).Msg("ended")
 	return nil
 }
 
-func counters(c exchange.Counts) map[string]any {
+func counters(c exchange.Counts, in intake.Counts) map[string]any {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	return map[string]any{"turns": c.Turns, "events": c.Events, "proxies": c.Proxies, "calls": c.Calls, "calls_again": c.Again,
 		"orders_folded": c.Folded, "orders_waiting": c.Waiting, "waited_most_ms": c.Waited.Milliseconds(),
+		"reports": in.Reports, "lines_spoilt": in.Spoilt, "strangers": in.Strangers,
 		"goroutines": runtime.NumGoroutine(), "heap_kb": m.HeapAlloc >> 10}
 }
--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -18,12 +18,15 @@
 // Worked starts over from the first pause.
 func (p *Pauses) Worked() { p.next = 0 }
 
-// Wait pauses, or until the context ends.
-func (p *Pauses) Wait(ctx context.Context) {
+// Next gives the next pause.
+func (p *Pauses) Next() time.Duration {
 	p.next = min(max(2*p.next, p.First), p.Most)
-	Sleep(ctx, p.next/2+time.Duration(p.Rng.Int63n(int64(p.next))))
+	return p.next/2 + time.Duration(p.Rng.Int63n(int64(p.next)))
 }
 
+// Wait pauses, or until the context ends.
+func (p *Pauses) Wait(ctx context.Context) { Sleep(ctx, p.Next()) }
+
 // Sleep pauses for a time, or until the context ends.
 func Sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
