--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/url"
 	"slices"
 	"strconv"
@@ -64,6 +65,7 @@
 	most    int           // messages to a proxy within span; 0: no limit
 	span    time.Duration
 	joined  map[int]*reached
+	users   map[int]map[*reached]struct{} // by table
 }
 
 // reached is what a joined proxy has got or may have got.
@@ -122,7 +124,8 @@
 	return &Exchange{most: int(most), span: seconds("messages.span") + spanMore,
 		receipt: max(receiptLeast, min(receiptMost, seconds("transit.mean"))),
 		events:  make(chan assign.Event, eventsMost), codec: codec, log: log,
-		wake: make(chan struct{}, 1), places: map[key]int{}, bound: map[int]time.Time{}, lives: map[int]int{}, joined: map[int]*reached{}}
+		wake: make(chan struct{}, 1), places: map[key]int{}, bound: map[int]time.Time{}, lives: map[int]int{}, joined: map[int]*reached{},
+		users: map[int]map[*reached]struct{}{}}
 }
 
 // Look gives the counts.
@@ -184,6 +187,11 @@
 			continue
 		case assign.Left:
 			x.unbind(e.Proxy)
+			if p := x.joined[e.Proxy]; p != nil {
+				for _, kinds := range slices.Collect(maps.Keys(p.tables)) {
+					x.use(p, kinds, -1)
+				}
+			}
 			delete(x.joined, e.Proxy)
 			if time.Since(x.bound[e.Proxy]) > bindLate {
 				delete(x.bound, e.Proxy)
@@ -347,16 +355,36 @@
 	case assign.SetLevel:
 		table = o.Table
 	}
+	if table != assign.EveryProxy {
+		for p := range x.users[table] {
+			f(p)
+		}
+		return
+	}
 	for _, p := range x.joined {
-		for _, t := range p.tables {
-			if t == table || table == assign.EveryProxy {
-				f(p)
-				break
-			}
+		if len(p.tables) > 0 {
+			f(p)
 		}
 	}
 }
 
+// use keeps who uses each table: with hundreds of proxies nobody can look through all of them at each order.
+func (x *Exchange) use(p *reached, kinds string, table int) {
+	old, had := p.tables[kinds]
+	if delete(p.tables, kinds); had && !slices.Contains(slices.Collect(maps.Values(p.tables)), old) {
+		if delete(x.users[old], p); len(x.users[old]) == 0 {
+			delete(x.users, old)
+		}
+	}
+	if table < 0 {
+		return
+	}
+	if p.tables[kinds] = table; x.users[table] == nil {
+		x.users[table] = map[*reached]struct{}{}
+	}
+	x.users[table][p] = struct{}{}
+}
+
 // take gives a call, or tells when to look again if orders wait for something.
 func (x *Exchange) take() (c Call, ok bool, again time.Duration) {
 	x.mu.Lock()
@@ -411,7 +439,7 @@
 		if b, ok := w.order.(assign.Bind); ok {
 			x.bound[b.Proxy] = now
 			if p := x.joined[b.Proxy]; p != nil {
-				p.tables[positions(b.Kinds)] = b.Table
+				x.use(p, positions(b.Kinds), b.Table)
 			}
 		}
 		x.reaches(w.order, func(p *reached) { got[p] = true })
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -48,8 +48,8 @@
 	acceptAgain = 5 * time.Millisecond
 	// startLogged is how much of a line that was skipped goes into the log.
 	startLogged = 200
-	// logBurst lines a second tell of strangers and spoilt lines at most: those of collectors' ends come behind them.
-	logBurst = 5
+	// logBurst lines in logEvery tell of strangers and spoilt lines at most, which come by the hundreds; they are counted.
+	logBurst, logEvery = 5, 10 * time.Second
 )
 
 // Sink takes an event; it may wait.
@@ -88,7 +88,7 @@
 // New makes a server that may hold so many descriptors.
 func New(codec *wire.Codec, sink Sink, sockets int, log zerolog.Logger) *Server {
 	return &Server{codec: codec, sink: sink, log: log, most: max(1, sockets-spare), clients: map[*client]struct{}{},
-		noise: log.Sample(&zerolog.BurstSampler{Burst: logBurst, Period: time.Second})}
+		noise: log.Sample(&zerolog.BurstSampler{Burst: logBurst, Period: logEvery})}
 }
 
 // Serve answers pings from its first connection on, so it is called once the assigner can take up its work.
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -67,6 +67,7 @@
 // Run calls until the context ends.
 func (c *Caller) Run(ctx context.Context) {
 	defer c.hangUp()
+	refused := "" // the order that the last call ended at
 	for unread := 0; ; {
 		call, err := c.x.Take(ctx)
 		if err != nil {
@@ -103,10 +104,17 @@
 			backoff.Sleep(ctx, busyAgain)
 			continue
 		case answer.Taken < len(call.Orders):
-			c.log.Warn().Str("order", call.Orders[answer.Taken]).Msg("relay: order not taken, dropped")
-			c.x.Return(call, answer.Taken+1, false)
+			// The answer may be false, and the order one that a drain or a binding hangs on: so it is asked twice.
+			order, from := call.Orders[answer.Taken], answer.Taken
+			c.log.Warn().Str("order", order).Bool("dropped", order == refused).Msg("relay: order not taken")
+			if order == refused {
+				order, from = "", from+1
+			}
+			refused = order
+			c.x.Return(call, from, false)
+			continue
 		}
-		unread = 0
+		refused, unread = "", 0
 		c.pauses.Worked()
 	}
 }
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -26,6 +26,7 @@
 	SilentBefore       // nothing carried out, no answer
 	SilentAfter        // carried out, no answer
 	GarbledAfter       // carried out, an answer that cannot be read
+	Fewer              // carried out, an answer that tells of less
 	Busy
 	Syntax
 )
@@ -234,7 +235,7 @@
 		how = ask(orders)
 	}
 	taken := 0
-	if how == Fine || how == LostAfter || how == SilentAfter || how == GarbledAfter {
+	if how == Fine || how == LostAfter || how == SilentAfter || how == GarbledAfter || how == Fewer {
 		r.mu.Lock()
 		taken = r.carryOut(orders)
 		r.mu.Unlock()
@@ -255,6 +256,9 @@
 	case Syntax:
 		answerError(w, "SYNTAX")
 	default:
+		if how == Fewer {
+			taken /= 2
+		}
 		w.Header().Set("Content-Type", "text/xml")
 		fmt.Fprintf(w, "<?xml version=\"1.0\"?>\n<Response><results><item><taken>%d</taken></item></results></Response>\n", taken)
 	}
