Call an overload when most tasks are nine tenths busy, before their answers are late

To blame: split.measure counted late and failed answers only. Change: a task nine tenths busy counts as answering badly there (the mean must be above three quarters as before).

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -43,6 +43,7 @@
 	failing   = 0.4  // share of failed tries that is no longer a busy task's refusals
 	lateShare = 0.4  // of the response target: a mean above it leaves no room for the slow answers
 	hotFrom   = 0.75 // busy share of a zone's tasks above which its proxies lean on others', of all: an overload
+	nearFull  = 0.9  // busy share of a task that counts as answering badly where most do: its queue is growing
 	alone     = 1.25 // of its zone's busy share: above, a task that is nearly full is slower than listed
 	crowded   = 3.0  // periods in a row of that make a judgement: one or two are chance where reqs are few
 	hotTo     = 0.5  // and below which they stop; the gap keeps tables from flapping
@@ -895,7 +896,7 @@
 			if a.now-v.judged <= 2*period && t.state == Ready {
 				seen, views, well, tried, fails = 1, views+1, well+v.well, tried+v.rate, fails+v.fails
 				failed += v.rate * v.fails
-				if v.bad() {
+				if v.bad() || t.busy >= nearFull {
 					ill = 1
 				}
 			}
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -647,3 +647,20 @@
 		t.Errorf("among full ones its ease is %v", x)
 	}
 }
+
+// Where most tasks are nearly full an overload is met before answers are late; where some are, it is not called.
+func TestFullTasksAreAnOverload(t *testing.T) {
+	for _, c := range []struct {
+		full int
+		set  bool
+	}{{15, true}, {6, false}} {
+		w := calm(t)
+		for range 8 {
+			w.meet(15, 0, Met{Mean: 0.1, Tries: 9, Load: []float64{0.8}})
+			w.meet(c.full, 1, Met{Mean: 0.1, Tries: 9, Load: []float64{1}})
+		}
+		if x := w.a.split.total; x > 0 != c.set {
+			t.Errorf("with %d of 15 tasks full the total is %v", c.full, x)
+		}
+	}
+}
