--- a/cmd/madderhollow/main_test.go
+++ b/cmd/madderhollow/main_test.go
@@ -281,7 +281,7 @@
 	hup := func() { a.Process.Signal(syscall.SIGHUP) }
 	hup() // nothing is new
 	for i := range 3 {
-		if err := errors.Join(p.relay.Move(200*time.Millisecond), p.agent.Move(200*time.Millisecond)); err != nil {
+		if err := errors.Join(p.relay.Move("", 200*time.Millisecond), p.agent.Move("", 200*time.Millisecond)); err != nil {
 			t.Fatal(err)
 		}
 		p.config["relay"], p.config["discovery"] = map[string]any{"address": p.relay.Address()}, p.agent.Address()
@@ -467,7 +467,7 @@
 			p.agent.Change(fresh, standin.Endpoint{Name: last, Zone: "x", Type: "m", Weight: 1, Status: "left"})
 			last = fresh.Name
 		case 4:
-			if err := errors.Join(p.relay.Move(50*time.Millisecond), p.agent.Move(50*time.Millisecond)); err != nil {
+			if err := errors.Join(p.relay.Move("", 50*time.Millisecond), p.agent.Move("", 50*time.Millisecond)); err != nil {
 				t.Fatal(err)
 			}
 			p.config["relay"], p.config["discovery"] = map[string]any{"address": p.relay.Address()}, p.agent.Address()
--- a/examples/toy/main.go
+++ b/examples/toy/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"maps"
@@ -33,8 +34,9 @@
 
 func main() {
 	path := flag.String("config", "examples/config.json", "the assigner's configuration")
+	moved := flag.String("moved", "examples/moved.json", "the one that takes its place at the end")
 	flag.Parse()
-	if err := run(*path); err != nil {
+	if err := run(*path, *moved); err != nil {
 		fmt.Fprintln(os.Stderr, "toy:", err)
 		os.Exit(1)
 	}
@@ -44,7 +46,7 @@
 	fmt.Printf("%5.1f s  %s\n", time.Since(t.began).Seconds(), fmt.Sprintf(f, v...))
 }
 
-func run(path string) error {
+func run(path, moved string) error {
 	t := &toy{began: time.Now(), collectors: map[string]*standin.Collector{}}
 	b, err := os.ReadFile(path)
 	if err != nil {
@@ -61,11 +63,14 @@
 		return err
 	}
 	defer t.agent.Close()
-	fmt.Printf("Waiting for an assigner at %s. In another terminal:\n    EDGE_CONFIG=%s go run ./cmd/madderhollow\n", t.Listen, path)
+	fmt.Printf("Waiting for an assigner at %s. In another terminal:\n    cp %s mine.json && EDGE_CONFIG=mine.json bin/madderhollow\n", t.Listen, path)
 	if err := t.meet(); err != nil {
 		return err
 	}
-	return t.story()
+	if err := t.story(); err != nil {
+		return err
+	}
+	return t.move(moved)
 }
 
 // meet waits for the assigner and connects the collectors.
@@ -217,10 +222,42 @@
 			return err
 		}
 		if n, _ := t.levels("read", 20); n == 0 {
-			t.say("No level holds back what comes. That is all; end the assigner with Ctrl-C.")
+			t.say("No level holds back what comes.")
 			return nil
 		}
 	}
-	t.say("Some levels still stand. End the assigner with Ctrl-C.")
+	t.say("Some levels still stand.")
+	return nil
+}
+
+// move takes discovery and the relay to other addresses, as a new configuration has them.
+func (t *toy) move(moved string) error {
+	b, err := os.ReadFile(moved)
+	if err != nil {
+		return err
+	}
+	next := *t
+	if err := json.Unmarshal(b, &next.told); err != nil {
+		return fmt.Errorf("%s: %w", moved, err)
+	}
+	const open = 2 * time.Minute // for whoever types; on a platform it may be a second
+	if err := errors.Join(t.relay.Move(next.Relay.Address, open), t.agent.Move(next.Discovery, open)); err != nil {
+		return err
+	}
+	t.say("Discovery and the relay move; what is open stays so for two minutes. In a third terminal:\n"+
+		"    cp %s mine.json && pkill -HUP -x madderhollow", moved)
+	drained := t.agent.List().Endpoints[1]
+	if !standin.Until(open, func() bool { return t.agent.Asked() == next.Discovery }) {
+		return fmt.Errorf("nobody came to %s", next.Discovery)
+	}
+	t.say("The assigner is at the new addresses.")
+	drained.Status = "leaving"
+	at := time.Now()
+	t.agent.Change(drained)
+	if !standin.Until(10*time.Second, func() bool { return t.using(drained.Name) == 0 }) {
+		return fmt.Errorf("the drain was not kept")
+	}
+	t.say("Task %s drains there; %d ms later no table has it. That is all; end the assigner with Ctrl-C.", drained.Name,
+		time.Since(at).Milliseconds())
 	return nil
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -187,7 +187,7 @@
 			}
 			return false
 		})
-		if err := b.Move(2 * wait); err != nil {
+		if err := b.Move("", 2*wait); err != nil {
 			t.Fatal(err)
 		}
 		b.at.Move(b.Address())
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -378,7 +378,7 @@
 			if rng.Intn(3) == 0 { // first an address where nobody is yet
 				b.at.Move("127.0.0.1:1")
 			}
-			if err := b.Move(time.Duration(60+rng.Intn(60)) * time.Millisecond); err != nil {
+			if err := b.Move("", time.Duration(60+rng.Intn(60))*time.Millisecond); err != nil {
 				t.Fatal(err)
 			}
 			b.at.Move(b.Address())
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -41,6 +41,7 @@
 	changed map[string]int64 // by name: the version of the last change
 	wake    chan struct{}    // closed at each change
 	place   *place
+	asked   string // the address of the last call
 }
 
 // NewDiscovery starts an agent, as NewRelay does, whose list has a version.
@@ -56,7 +57,7 @@
 func (d *Discovery) Address() string { return d.place.address() }
 
 // Move takes it to another address, as Relay.Move does.
-func (d *Discovery) Move(after time.Duration) error { return d.place.move(after) }
+func (d *Discovery) Move(to string, after time.Duration) error { return d.place.move(to, after) }
 
 // Close ends it and all its connections.
 func (d *Discovery) Close() { d.place.close() }
@@ -68,6 +69,13 @@
 	d.onAsk = f
 }
 
+// Asked gives the address at which it was asked last.
+func (d *Discovery) Asked() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.asked
+}
+
 // List gives what it would answer now to a call for the whole list.
 func (d *Discovery) List() List {
 	d.mu.Lock()
@@ -101,6 +109,7 @@
 func (d *Discovery) ask(w http.ResponseWriter, req *http.Request) {
 	d.mu.Lock()
 	own := d.onAsk
+	d.asked = req.Host
 	d.mu.Unlock()
 	if own != nil && own(w, req) {
 		return
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -101,14 +101,15 @@
 	return p.listener.Addr().String()
 }
 
-// move opens another address; the one before takes no new connection, and its open ones close after a time.
-func (p *place) move(after time.Duration) error {
+// move opens another address, a free port if that is empty; the one before takes no new connection, and its open ones
+// close after a time.
+func (p *place) move(to string, after time.Duration) error {
 	p.mu.Lock()
 	l, s := p.listener, p.servers[len(p.servers)-1]
 	p.mu.Unlock()
 	l.Close()
 	time.AfterFunc(after, func() { s.Close() })
-	return p.open("")
+	return p.open(to)
 }
 
 func (p *place) close() {
@@ -123,7 +124,7 @@
 func (r *Relay) Address() string { return r.place.address() }
 
 // Move takes it to another address; connections to the one before stay open for a time.
-func (r *Relay) Move(after time.Duration) error { return r.place.move(after) }
+func (r *Relay) Move(to string, after time.Duration) error { return r.place.move(to, after) }
 
 // Close ends it and all its connections.
 func (r *Relay) Close() {
