--- a/assign/assign.go
+++ b/assign/assign.go
@@ -43,9 +43,6 @@
 	failing   = 0.4  // share of failed tries that is no longer a busy task's refusals
 	lateShare = 0.4  // of the response target: a mean above it leaves no room for the slow answers
 	hotFrom   = 0.75 // busy share of a zone's tasks above which its proxies lean on others', of all: an overload
-	nearFull  = 0.9  // busy share of a task that counts as answering badly where most do: its queue is growing
-	alone     = 1.25 // of its zone's busy share: above, a task that is nearly full is slower than listed
-	crowded   = 3.0  // periods in a row of that make a judgement: one or two are chance where reqs are few
 	hotTo     = 0.5  // and below which they stop; the gap keeps tables from flapping
 	leaning   = 0.6  // of the gap in busy shares that moves a period: reports trail by two or three
 	easeCut   = 0.8  // of a line's weight that is left when its task answers badly
@@ -269,6 +266,8 @@
 	})
 }
 
+// ---- zones
+
 // zone remembers the most listed weight seen in a zone, against which what is left is measured.
 type zone struct {
 	name  string
@@ -333,6 +332,8 @@
 	z.spill = math.Max(0, math.Min(1-1.0/tableSize, z.spill+leaning*gap))
 }
 
+// ---- tasks
+
 type task struct {
 	inbox
 	id, zone   string
@@ -343,7 +344,6 @@
 	dropped    bool    // the list calls it gone, which does not bind
 	answered   float64 // when a good answer was last told of
 	named      float64 // when it was last listed
-	full       float64 // periods in a row that it was nearly full while its zone was not
 	busy       float64 // by its own reports, which count all proxies' reqs
 	told, done float64 // good answers told of since the last beat, and in the second before it
 	views      []*view
@@ -430,7 +430,6 @@
 		}
 	case beatNote:
 		t.done, t.told = t.told/period, 0
-		t.full = (t.full + 1) * math.Floor(math.Min(1, t.busy/math.Max(fullUse, alone*a.zone(t.zone).busy)))
 		if t.dropped {
 			a.post(t, goneNote{})
 		}
@@ -450,14 +449,13 @@
 	v.fails, v.late = v.failed/v.tries, mean > mark
 	v.rate, v.judged = v.tries/math.Max(a.now-v.since, period), a.now
 	v.well = v.rate * (1 - v.fails) * math.Min(1, math.Max(lateWell, mark/mean))
-	if !v.bad() && t.busy < hotFrom && a.now >= v.next {
+	if !v.bad() && a.now >= v.next {
 		v.ease, v.next = math.Min(1, v.ease+easeStep), a.now+period
 	}
 	v.tries, v.failed, v.sum, v.since = 0, 0, 0, a.now
 }
 
-// cut lowers a line whose task answers badly, or is nearly full, while most are not: a slow machine, a noisy
-// neighbour. Its answers are late only when its queue is long; busy shares tell before. One that
+// cut lowers a line whose task answers badly while most do not: a slow machine, a noisy neighbour. One that
 // fails and answers late is overloaded, and taking all from it would push the next one over; one that fails
 // only is ill, silent or cut off, and goes on trial at once. It harms where the judging proxies are at fault.
 func (t *task) cut(a *Assigner, v *view) {
@@ -480,6 +478,8 @@
 	return lateShare * mean
 }
 
+// ---- proxies
+
 type line struct {
 	t *task
 	w float64
@@ -803,6 +803,8 @@
 	}
 }
 
+// ---- the split
+
 type split struct {
 	inbox
 	total       float64 // 0: unset
@@ -855,7 +857,7 @@
 	over := s.measure(a, use)
 	for _, t := range a.fleet {
 		for _, v := range t.views {
-			if !over && (v.bad() || t.full >= crowded) && a.now-v.judged <= period {
+			if !over && v.bad() && a.now-v.judged <= period {
 				a.post(t, cutNote{v})
 			}
 		}
@@ -896,7 +898,7 @@
 			if a.now-v.judged <= 2*period && t.state == Ready {
 				seen, views, well, tried, fails = 1, views+1, well+v.well, tried+v.rate, fails+v.fails
 				failed += v.rate * v.fails
-				if v.bad() || t.busy >= nearFull {
+				if v.bad() {
 					ill = 1
 				}
 			}
@@ -931,6 +933,8 @@
 	return over
 }
 
+// ---- the desk
+
 // desk writes the orders; by the receipts it keeps the channel short on days when that is slow.
 type desk struct {
 	inbox
