Exchange: reports apart from rules' events, counts by call, receipts that come early

Cause, by reading and a benchmark: (1) reports shared one queue of 4,096 with the list and the news and made whoever brought them wait, so that a burst could hold up a watch for longer than the 200 ms that keep it (exchange.Post, host.Run). (3) A receipt told between a call's failure and its being put back was forgotten: the call was repeated and held all others back for up to 0.48 s (exchange.Return).

Change: reports have a queue of their own that never makes anybody wait, the oldest goes and is counted (reports_lost); calls within the span are kept with whom they reach, so that only those are walked; receipts and joinings of a turn make one pass; the marks answered last are kept, so that a call put back after its receipt counts as carried out.

--- a/cmd/madderhollow/main.go
+++ b/cmd/madderhollow/main.go
@@ -88,7 +88,7 @@
 	watch := discovery.New(agentAt, known.Version, codec, x.Post, chance.Int63(), log)
 	calls := relay.NewCaller(relayAt, x, chance.Int63(), log)
 	news := relay.NewReader(relayAt, codec, x.Post, chance.Int63(), log)
-	server := intake.New(codec, x.Post, cfg.Sockets, log)
+	server := intake.New(codec, x.Report, cfg.Sockets, log)
 	ports := host.Ports{Follow: watch.Follow, Fetch: watch.Fetch, Tell: func(int, []byte) {}}
 	parts := []func(context.Context){watch.Run, calls.Run, news.Run,
 		func(ctx context.Context) { reload.Run(ctx, hup, cfg.Path, agentAt, relayAt, log) }}
@@ -131,7 +131,7 @@
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	return map[string]any{"turns": c.Turns, "events": c.Events, "proxies": c.Proxies, "calls": c.Calls, "calls_again": c.Again,
-		"orders_folded": c.Folded, "orders_waiting": c.Waiting, "waited_most_ms": c.Waited.Milliseconds(),
+		"orders_folded": c.Folded, "reports_lost": c.Lost, "orders_waiting": c.Waiting, "waited_most_ms": c.Waited.Milliseconds(),
 		"reports": in.Reports, "lines_spoilt": in.Spoilt, "strangers": in.Strangers,
 		"goroutines": runtime.NumGoroutine(), "heap_kb": m.HeapAlloc >> 10}
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,9 +19,12 @@
 )
 
 const (
-	// eventsMost wait for the host; who brings more waits, and its own peer behind it. It is ten seconds
-	// of reports at the settings' usual 400 lines a second.
+	// eventsMost of the list, the news and the peers wait for the host; who brings more waits, and its own peer
+	// behind it. It is more than all proxies of a large fleet coming at once.
 	eventsMost = 4096
+	// reportsMost wait beside them, ten seconds at 400 lines a second. Who brings more does not wait, since a
+	// collector left unread is reset: the oldest goes, as the newer ones tell more of what is.
+	reportsMost = 4096
 	// callMost is the protocol's limit on the orders of one call, in bytes as they are sent.
 	callMost = 60000
 	// marksMost calls are remembered by their marks; receipts come within a second or two, at most some
@@ -43,10 +47,12 @@
 
 // Exchange holds what waits on the way between the parts.
 type Exchange struct {
-	events chan assign.Event
-	codec  *wire.Codec
-	log    zerolog.Logger
-	wake   chan struct{}
+	events  chan assign.Event
+	reports chan assign.Event
+	lost    atomic.Int64 // reports that went for newer ones
+	codec   *wire.Codec
+	log     zerolog.Logger
+	wake    chan struct{}
 
 	mu     sync.Mutex
 	queue  []*entry          // in order; superseded ones are nil
@@ -55,6 +61,7 @@
 	every  bool              // one of them asked all proxies
 	shared bool              // the last of them has gone out already, with other orders
 	called []joinedMarks     // marks that went out as one
+	told   []int             // marks whose receipt came last
 	bound  map[int]time.Time // when a binding last went out, by proxy, since its stream stands
 	lives  map[int]int       // how often a proxy was told to have come or gone
 	counts Counts
@@ -66,19 +73,29 @@
 	span    time.Duration
 	joined  map[int]*reached
 	users   map[int]map[*reached]struct{} // by table
+	recent  []written                     // within the span, the oldest first
+	calls   int                           // that ever went out: each has its number
 }
 
 // reached is what a joined proxy has got or may have got.
 type reached struct {
 	tables map[string]int // by kinds
-	wrote  []time.Time    // when calls that reach it went out, within the span
+	wrote  int            // calls within the span that reach it
+	last   int            // the number of the last of them
+}
+
+// written is a call that went out, and whom it reaches.
+type written struct {
+	call int
+	at   time.Time
+	to   []*reached
 }
 
 // Counts are for operators: calls made and made again, orders folded and waiting, and the longest that any
 // waited here.
 type Counts struct {
-	Turns, Events, Proxies, Calls, Again, Folded, Waiting int
-	Waited                                                time.Duration
+	Turns, Events, Proxies, Calls, Again, Folded, Waiting, Lost int
+	Waited                                                      time.Duration
 }
 
 // entry is one encoded order that waits. Tried: the mark of a call that may have carried it out; -1: none.
@@ -110,7 +127,7 @@
 	marks   []int
 	every   bool
 	shared  bool // another call has the same mark: its receipt says nothing of this one
-	at      time.Time
+	number  int
 }
 
 // New returns an empty exchange. Of the settings it keeps the limit on messages to a proxy, which calls made
@@ -123,7 +140,7 @@
 	most, _ := cfg["messages.limit"].(float64)
 	return &Exchange{most: int(most), span: seconds("messages.span") + spanMore,
 		receipt: max(receiptLeast, min(receiptMost, seconds("transit.mean"))),
-		events:  make(chan assign.Event, eventsMost), codec: codec, log: log,
+		events:  make(chan assign.Event, eventsMost), reports: make(chan assign.Event, reportsMost), codec: codec, log: log,
 		wake: make(chan struct{}, 1), places: map[key]int{}, bound: map[int]time.Time{}, lives: map[int]int{}, joined: map[int]*reached{},
 		users: map[int]map[*reached]struct{}{}}
 }
@@ -133,11 +150,11 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	c := x.counts
-	c.Waiting, c.Proxies = len(x.places), len(x.joined)
+	c.Waiting, c.Proxies, c.Lost = len(x.places), len(x.joined), int(x.lost.Load())
 	return c
 }
 
-// Post hands an event to the host; it waits while too many do.
+// Post hands an event to the host, except reports; it waits while too many do.
 func (x *Exchange) Post(ctx context.Context, e assign.Event) error {
 	select {
 	case x.events <- e:
@@ -147,8 +164,25 @@
 	}
 }
 
-// Events is where the host takes them.
-func (x *Exchange) Events() <-chan assign.Event { return x.events }
+// Report hands a report to the host. It never waits, and neither do the list and the news for it, on which rules hang.
+func (x *Exchange) Report(_ context.Context, e assign.Event) error {
+	for {
+		select {
+		case x.reports <- e:
+			return nil
+		default:
+		}
+		select {
+		case <-x.reports:
+			x.lost.Add(1)
+		default:
+		}
+	}
+}
+
+// Events is where the host takes what was posted, Reports where it takes reports.
+func (x *Exchange) Events() <-chan assign.Event  { return x.events }
+func (x *Exchange) Reports() <-chan assign.Event { return x.reports }
 
 // Told readies events for the module, which are about to be handed over. Several turns may have gone out
 // as one call with one mark: its receipt then stands for all of them. A proxy that left or came anew is no
@@ -160,6 +194,7 @@
 	out := make([]assign.Event, 0, len(events))
 	x.counts.Turns++
 	x.counts.Events += len(events)
+	answered, anew := map[int]bool{}, map[int]bool{} // marks, and proxies that came or left
 	for _, e := range events {
 		switch e := e.(type) {
 		case assign.Applied:
@@ -171,12 +206,13 @@
 					break
 				}
 			}
-			if x.forget(func(w *entry) bool { return w.tried == e.Mark }) { // a proxy answers: the call was carried out
-				x.until = time.Now()
-				x.ring()
+			if answered[e.Mark] = true; !slices.Contains(x.told, e.Mark) {
+				x.told = append(x.told, e.Mark)
+				x.told = x.told[max(0, len(x.told)-marksMost):]
 			}
 		case assign.Joined:
-			x.unbind(e.Proxy)
+			anew[e.Proxy] = true
+			x.lives[e.Proxy]++
 			if p := x.joined[e.Proxy]; p == nil {
 				x.joined[e.Proxy] = &reached{tables: map[string]int{}}
 			}
@@ -186,7 +222,8 @@
 			out = append(out, e)
 			continue
 		case assign.Left:
-			x.unbind(e.Proxy)
+			anew[e.Proxy] = true
+			x.lives[e.Proxy]++
 			if p := x.joined[e.Proxy]; p != nil {
 				for _, kinds := range slices.Collect(maps.Keys(p.tables)) {
 					x.use(p, kinds, -1)
@@ -199,14 +236,16 @@
 		}
 		out = append(out, e)
 	}
+	if len(anew) > 0 {
+		x.forget(func(w *entry) bool { b, ok := w.order.(assign.Bind); return ok && anew[b.Proxy] })
+	}
+	if len(answered) > 0 && x.forget(func(w *entry) bool { return answered[w.tried] }) { // those calls were carried out
+		x.until = time.Now()
+		x.ring()
+	}
 	return out
 }
 
-func (x *Exchange) unbind(proxy int) {
-	x.lives[proxy]++
-	x.forget(func(w *entry) bool { b, ok := w.order.(assign.Bind); return ok && b.Proxy == proxy })
-}
-
 func (x *Exchange) forget(gone func(*entry) bool) (any bool) {
 	for i, w := range x.queue {
 		if w != nil && gone(w) {
@@ -336,7 +375,7 @@
 	if x.most == 0 {
 		return false
 	}
-	x.reaches(o, func(p *reached) { full = full || len(p.wrote) >= x.most })
+	x.reaches(o, func(p *reached) { full = full || p.wrote >= x.most })
 	return full
 }
 
@@ -393,9 +432,11 @@
 	if len(x.places) > 0 && now.Before(x.until) {
 		return c, false, x.until.Sub(now)
 	}
-	for _, p := range x.joined {
-		p.wrote = slices.DeleteFunc(p.wrote, func(at time.Time) bool { return now.Sub(at) > x.span })
+	old := 0
+	for ; old < len(x.recent) && now.Sub(x.recent[old].at) > x.span; old++ {
+		x.recent[old].undo()
 	}
+	x.recent = slices.Delete(x.recent, 0, old)
 	size, rest := 0, x.queue[:0:0]
 	long := false
 	for _, w := range x.queue {
@@ -431,8 +472,16 @@
 // note writes a call out and keeps what its going out means for later.
 func (x *Exchange) note(c *Call, now time.Time) {
 	x.counts.Calls++
-	c.at = now
-	got := map[*reached]bool{}
+	x.calls++
+	c.number = x.calls
+	r := written{call: c.number, at: now}
+	reach := func(p *reached) {
+		if p.last != c.number {
+			p.last = c.number
+			p.wrote++
+			r.to = append(r.to, p)
+		}
+	}
 	for _, w := range c.entries {
 		c.Orders = append(c.Orders, w.text)
 		x.counts.Waited = max(x.counts.Waited, now.Sub(w.since))
@@ -442,7 +491,7 @@
 				x.use(p, positions(b.Kinds), b.Table)
 			}
 		}
-		x.reaches(w.order, func(p *reached) { got[p] = true })
+		x.reaches(w.order, reach)
 	}
 	if n := len(c.marks); n > 0 {
 		text, _ := x.codec.Order(assign.Mark{Mark: c.marks[n-1], Everyone: c.every})
@@ -452,11 +501,21 @@
 			x.called = x.called[max(0, len(x.called)-marksMost):]
 		}
 	}
-	for _, p := range x.joined {
-		if got[p] || c.every {
-			p.wrote = append(p.wrote, now)
+	if c.every {
+		for _, p := range x.joined {
+			reach(p)
 		}
 	}
+	if x.most > 0 && len(r.to) > 0 {
+		x.recent = append(x.recent, r)
+	}
+}
+
+// undo takes a call out of the counts of whom it reaches.
+func (w written) undo() {
+	for _, p := range w.to {
+		p.wrote--
+	}
 }
 
 // Return puts a call, or what stands in it from order `from` on, back before what came meanwhile. Unsure: it
@@ -468,9 +527,16 @@
 	x.queue, x.places = nil, map[key]int{}
 	x.counts.Again++
 	if from == 0 && !unsure { // nobody got it: while the relay is away no message counts
-		for _, p := range x.joined {
-			p.wrote = slices.DeleteFunc(p.wrote, func(at time.Time) bool { return at.Equal(c.at) })
-		}
+		x.recent = slices.DeleteFunc(x.recent, func(r written) bool {
+			if r.call == c.number {
+				r.undo()
+			}
+			return r.call == c.number
+		})
+	}
+	marked := unsure && !c.shared && len(c.marks) > 0
+	if marked && slices.Contains(x.told, c.marks[len(c.marks)-1]) { // its receipt came while it was put back
+		unsure, c.entries, c.marks, c.every = false, nil, nil, false
 	}
 	if from > len(c.entries) { // it was the mark that was not taken
 		c.marks, c.every = nil, false
@@ -479,7 +545,7 @@
 		if b, ok := w.order.(assign.Bind); ok && w.life != x.lives[b.Proxy] {
 			continue // its stream is not the one that this was decided for
 		}
-		if w.tried = -1; unsure && !c.shared && len(c.marks) > 0 {
+		if w.tried = -1; marked {
 			w.tried = c.marks[len(c.marks)-1]
 		}
 		x.add(w)
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,126 @@
+package exchange
+
+import (
+	"context"
+	"math/rand"
+	"reflect"
+	"testing"
+	"testing/quick"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"madderhollow/assign"
+	"madderhollow/internal/wire"
+)
+
+func small(most int) *Exchange {
+	cfg := assign.Settings{"zones": []string{"a"}, "proxies": 8.0, "kind.name": []string{"read"}, "messages.limit": float64(most),
+		"messages.span": 3600.0, "transit.mean": 0.05}
+	return New(cfg, wire.NewCodec(cfg, time.Now()), zerolog.Nop())
+}
+
+// The receipt of a call can come before the caller knows that its answer was lost: the call was carried out, and neither
+// repeats nor makes the others wait.
+func TestReceiptBeforeTheCallIsPutBack(t *testing.T) {
+	x := small(0)
+	x.Told([]assign.Event{assign.Joined{Proxy: 3, Zone: "a"}})
+	x.Order([]assign.Order{assign.SetLine{Table: 1, Task: "t", Weight: 1}, assign.Bind{Proxy: 3, Table: 1}, assign.Mark{Mark: 7}})
+	c, ok, _ := x.take()
+	if !ok {
+		t.Fatal("nothing to call")
+	}
+	x.Told([]assign.Event{assign.Applied{Proxy: 3, Mark: 7}})
+	x.Return(c, 0, true)
+	x.Order([]assign.Order{assign.Clear{Table: 2}, assign.Mark{Mark: 8}})
+	if c, ok, again := x.take(); !ok || !reflect.DeepEqual(c.Orders, []string{"wipe,2", "fence,8,0"}) {
+		t.Errorf("got %v, to be looked for again in %v", c.Orders, again)
+	}
+}
+
+// A receipt of one part of a split turn says nothing of the other.
+func TestReceiptOfASharedMarkProvesNothing(t *testing.T) {
+	x := small(1)
+	x.Told([]assign.Event{assign.Joined{Proxy: 1, Zone: "a"}, assign.Joined{Proxy: 2, Zone: "a"}})
+	x.Order([]assign.Order{assign.Bind{Proxy: 1, Table: 1}, assign.Mark{Mark: 1}})
+	x.take()
+	x.Order([]assign.Order{assign.SetLine{Table: 1, Task: "t", Weight: 1}, assign.Bind{Proxy: 2, Table: 2}, assign.Mark{Mark: 2}})
+	c, ok, _ := x.take() // proxy 1 has got as many messages as it may
+	if !ok || !reflect.DeepEqual(c.Orders, []string{"attach,2,2,*", "fence,2,0"}) {
+		t.Fatalf("got %v", c.Orders)
+	}
+	x.Told([]assign.Event{assign.Applied{Proxy: 2, Mark: 2}})
+	x.Return(c, 0, true)
+	x.until = time.Time{}
+	x.joined[2].wrote = 0
+	if c, _, _ = x.take(); !reflect.DeepEqual(c.Orders, []string{"attach,2,2,*", "fence,2,0"}) {
+		t.Errorf("got %v", c.Orders)
+	}
+}
+
+// However many reports wait, nobody who brings one is held up, and the list and the news pass; the newest reports stay.
+func TestReportsHoldNothingUp(t *testing.T) {
+	x := small(0)
+	ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+	defer stop()
+	for i := range reportsMost + 100 {
+		if err := x.Report(ctx, assign.Used{Reqs: i}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := x.Post(ctx, assign.Left{Proxy: 1}); err != nil {
+		t.Fatal(err)
+	}
+	if e := <-x.Events(); e != (assign.Left{Proxy: 1}) {
+		t.Errorf("got %+v", e)
+	}
+	if e := <-x.Reports(); e != (assign.Used{Reqs: 100}) || x.Look().Lost != 100 {
+		t.Errorf("got %+v, %d lost", e, x.Look().Lost)
+	}
+}
+
+// Whatever is ordered, taken, put back and told, a proxy's count is that of the calls within the span that reach it.
+func TestCountsOfMessages(t *testing.T) {
+	f := func(seed int64) bool {
+		rng := rand.New(rand.NewSource(seed))
+		x := small(6)
+		flying := []Call{}
+		for i := range 60 {
+			p := rng.Intn(4)
+			switch rng.Intn(6) {
+			case 0:
+				x.Told([]assign.Event{assign.Joined{Proxy: p, Zone: "a"}})
+			case 1:
+				x.Told([]assign.Event{assign.Left{Proxy: p}})
+			case 2, 3:
+				x.Order([]assign.Order{assign.Bind{Proxy: p, Table: p}, assign.SetLine{Table: rng.Intn(4), Task: "t", Weight: 1},
+					assign.Mark{Mark: i, Everyone: rng.Intn(4) == 0}})
+			case 4:
+				if c, ok, _ := x.take(); ok {
+					flying = append(flying[:0], c)
+				}
+			default:
+				if len(flying) > 0 {
+					x.Return(flying[0], 0, rng.Intn(2) == 0)
+					x.until, flying = time.Time{}, flying[:0]
+				}
+			}
+			want := map[*reached]int{}
+			for _, r := range x.recent {
+				for _, p := range r.to {
+					want[p]++
+				}
+			}
+			for id, p := range x.joined {
+				if p.wrote != want[p] || p.wrote > 6 {
+					t.Logf("seed %d: proxy %d has %d messages, %d calls within the span reach it", seed, id, p.wrote, want[p])
+					return false
+				}
+			}
+		}
+		return true
+	}
+	if err := quick.Check(f, &quick.Config{MaxCount: 300, Rand: rand.New(rand.NewSource(1))}); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -65,25 +65,20 @@
 			wait = seconds(h.timers[0].due - h.now())
 		}
 		alarm.Reset(wait)
-		var events []assign.Event
+		var events, reports []assign.Event
 		select {
 		case <-ctx.Done():
 			return
 		case e := <-h.x.Events():
 			events = append(events, e)
+		case e := <-h.x.Reports():
+			reports = append(reports, e)
 		case <-alarm.C:
 		}
 		if rest := last + h.least - h.now(); rest > 0 {
 			time.Sleep(seconds(rest))
 		}
-		for more := true; more; {
-			select {
-			case e := <-h.x.Events():
-				events = append(events, e)
-			default:
-				more = false
-			}
-		}
+		events = append(append(waiting(h.x.Events(), events), reports...), waiting(h.x.Reports(), nil)...)
 		now := h.now()
 		for len(h.timers) > 0 && h.timers[0].due <= now {
 			events = append(events, assign.Rang{Name: h.timers[0].name})
@@ -96,6 +91,18 @@
 	}
 }
 
+// waiting appends what waits now; what comes meanwhile is for the next turn.
+func waiting(from <-chan assign.Event, l []assign.Event) []assign.Event {
+	for n := len(from); n > 0; n-- {
+		select {
+		case e := <-from:
+			l = append(l, e)
+		default: // the oldest report went for a newer one meanwhile
+		}
+	}
+	return l
+}
+
 // seconds rounds up: a timer must not ring before it is due.
 func seconds(s float64) time.Duration {
 	return max(0, time.Duration(s*float64(time.Second))+time.Microsecond)
