Start waits for what the old process holds; calls at SIGTERM end, closed ones are seen

Cause, by reading, then by tests that force each crossing on loopback: - cmd/madderhollow ended with status 1 when its listener, the peers' port or -status was still held, and config.Load ended on a file half written; SIGTERM before the configuration was read killed it by the signal. - relay.Caller closed the connection under a call at SIGTERM: what it held was in doubt for nobody, what waited behind it was lost, with 0.7 s left. - a close by the relay that had already arrived was not looked for before writing (relay.connect), so that the call and all behind it waited for a receipt. - a log that nobody reads held up the end beyond SIGKILL.

Change: the listener is tried for 25 s, peers and page in the background; the file is looked at for 0.6 s, then one line and status 2, also for `known` and peers' addresses; signals are taken before all else; the caller ends after the host, hears its call out and sends what waits, 0.4 s at most; a call looks for a close first; after 0.65 s the process ends whatever hangs.

TestUnusableConfiguration is stricter: it wants status 2.

--- a/cmd/madderhollow/main.go
+++ b/cmd/madderhollow/main.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog/diode"
 
 	"madderhollow/assign"
+	"madderhollow/internal/backoff"
 	"madderhollow/internal/config"
 	"madderhollow/internal/discovery"
 	"madderhollow/internal/exchange"
@@ -44,21 +45,38 @@
 	logMost  = 1000
 )
 
+// The former process may still hold the addresses while it dies. Who starts an assigner gives it 30 s to be ready.
+const (
+	openWithin            = 25 * time.Second
+	openFirst, openAtMost = 10 * time.Millisecond, 200 * time.Millisecond
+)
+
+// endWithin bounds what is left to do after SIGTERM, since SIGKILL may follow 0.7 s later: whoever reads the log may have
+// stopped, and nobody waits for an end that was ordered.
+const endWithin = 650 * time.Millisecond
+
 func main() {
-	hup := make(chan os.Signal, 1) // first of all: without it the signal ends the process
+	hup := make(chan os.Signal, 1) // first of all: without them the signals kill the process
 	signal.Notify(hup, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	context.AfterFunc(ctx, func() { time.AfterFunc(endWithin, func() { os.Exit(0) }) })
 	flags := flag.NewFlagSet("madderhollow", flag.ExitOnError)
 	page := flags.String("status", "", "address of the operators' page; none if empty")
 	flags.Parse(os.Args[1:])
-	cfg, err := config.Load(os.Getenv)
+	cfg, err := config.Await(ctx, os.Getenv)
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil && *page != "" {
+		_, err = net.ResolveTCPAddr("tcp", *page)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "madderhollow:", err)
 		os.Exit(2)
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
 	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB) * (1 << 20)))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	if err := serve(ctx, cfg, hup, *page, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, "madderhollow:", err)
 		os.Exit(1)
@@ -73,16 +91,19 @@
 	if err != nil {
 		return fmt.Errorf("configuration: known: %w", err)
 	}
-	l, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return err
-	}
-	defer l.Close()
 	lines := diode.NewWriter(struct{ io.Writer }{logs}, logMost, 0, func(int) {}) // its end must not close them
 	defer lines.Close()
 	log := zerolog.New(lines).With().Timestamp().Str("assigner", cfg.Name).Logger().
 		Sample(&zerolog.BurstSampler{Burst: logBurst, Period: time.Second})
 	chance := rand.New(rand.NewSource(cfg.Seed))
+	l, err := listen(ctx, cfg.Listen, chance.Int63(), log)
+	if ctx.Err() != nil {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	defer l.Close()
 	x := exchange.New(cfg.Settings, codec, log)
 	agentAt, relayAt := moving.At(cfg.Discovery), moving.At(cfg.Relay)
 	watch := discovery.New(agentAt, known.Version, codec, x.Post, chance.Int63(), log)
@@ -90,7 +111,9 @@
 	news := relay.NewReader(relayAt, codec, x.Post, chance.Int63(), log)
 	server := intake.New(codec, x.Report, cfg.Sockets, log)
 	ports := host.Ports{Follow: watch.Follow, Fetch: watch.Fetch, Tell: func(int, []byte) {}}
-	parts := []func(context.Context){watch.Run, calls.Run, news.Run,
+	decided, end := context.WithCancel(context.WithoutCancel(ctx)) // when the module gives no more orders
+	defer end()
+	parts := []func(context.Context){watch.Run, news.Run, func(context.Context) { calls.Run(decided) },
 		func(ctx context.Context) { reload.Run(ctx, hup, cfg.Path, agentAt, relayAt, log) }}
 	if cfg.MayTell() {
 		peers, err := peer.Open(cfg.PeerListen, cfg.PeersAll, cfg.Peers, x.Post, log)
@@ -101,12 +124,13 @@
 		parts = append(parts, peers.Run)
 	}
 	if page != "" {
-		p, err := net.Listen("tcp", page)
-		if err != nil {
-			return fmt.Errorf("status: %w", err)
-		}
+		seed := chance.Int63()
 		parts = append(parts, func(ctx context.Context) {
-			if err := status.Serve(ctx, p, func() map[string]any { return counters(x.Look(), server.Look()) }); err != nil {
+			p, err := listen(ctx, page, seed, log)
+			if err == nil {
+				err = status.Serve(ctx, p, func() map[string]any { return counters(x.Look(), server.Look()) })
+			}
+			if err != nil && ctx.Err() == nil {
 				log.Error().Err(err).Msg("status page ended")
 			}
 		})
@@ -114,7 +138,7 @@
 	h := host.New(cfg.Seed, cfg.Settings, x, ports, began, log)
 	ready := make(chan struct{})
 	parts = append(parts,
-		func(ctx context.Context) { h.Run(ctx, []assign.Event{known}, func() { close(ready) }) },
+		func(ctx context.Context) { defer end(); h.Run(ctx, []assign.Event{known}, func() { close(ready) }) },
 		func(ctx context.Context) { <-ready; server.Serve(ctx, l) })
 	log.Info().Int("tasks", len(known.Entries)).Int("version", known.Version).Msg("started")
 	var wg sync.WaitGroup
@@ -127,6 +151,21 @@
 	return nil
 }
 
+// listen opens an address, for some time also one that is still taken.
+func listen(ctx context.Context, address string, seed int64, log zerolog.Logger) (net.Listener, error) {
+	pauses := backoff.Pauses{First: openFirst, Most: openAtMost, Rng: rand.New(rand.NewSource(seed))}
+	for began, told := time.Now(), false; ; told = true {
+		l, err := net.Listen("tcp", address)
+		if err == nil || time.Since(began) > openWithin || ctx.Err() != nil {
+			return l, err
+		}
+		if !told {
+			log.Warn().Err(err).Msg("not to be had yet")
+		}
+		pauses.Wait(ctx)
+	}
+}
+
 func counters(c exchange.Counts, in intake.Counts) map[string]any {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
--- a/cmd/madderhollow/main_test.go
+++ b/cmd/madderhollow/main_test.go
@@ -41,15 +41,42 @@
 // program is a started assigner; its log comes line by line.
 type program struct {
 	*exec.Cmd
-	log   *bytes.Buffer
+	log   *record
 	ended chan error
 }
 
+// record is a log that may be read while it is written.
+type record struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (r *record) Write(b []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.buf.Write(b)
+}
+
+func (r *record) String() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.buf.String()
+}
+
 func start(t *testing.T, config string, args ...string) *program {
 	t.Helper()
-	p := &program{Cmd: exec.Command(os.Args[0], args...), log: &bytes.Buffer{}, ended: make(chan error, 1)}
+	return launch(t, nil, config, args...)
+}
+
+// launch is start with a log of the test's own, if any.
+func launch(t *testing.T, log io.Writer, config string, args ...string) *program {
+	t.Helper()
+	p := &program{Cmd: exec.Command(os.Args[0], args...), log: &record{}, ended: make(chan error, 1)}
 	p.Env = []string{"MADDERHOLLOW_MAIN=1", "EDGE_CONFIG=" + config}
 	p.Stderr, p.Stdout = p.log, p.log
+	if log != nil {
+		p.Stderr, p.Stdout = log, log
+	}
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -254,7 +281,7 @@
 	if err := a.end(t); err != nil {
 		t.Errorf("SIGTERM: %v\n%s", err, a.text())
 	}
-	for s := bufio.NewScanner(a.log); s.Scan(); {
+	for s := bufio.NewScanner(strings.NewReader(a.log.String())); s.Scan(); {
 		if !json.Valid(s.Bytes()) {
 			t.Errorf("log line %q", s.Text())
 		}
@@ -371,7 +398,7 @@
 		t.Fatal(err)
 	}
 	for _, change := range []string{"", "{", `"relay"|"x"`, `"settings"|"x"`, `"known"|"x"`, `8c1f30d27a5be964|seed`, `"status":"active"|"status":"odd"`,
-		`"listen":"127|"listen":"nowhere`} {
+		`"listen":"127|"listen":"nowhere`, `"peer_listen":"127|"peer_listen":"nowhere`, `"peers":["127|"peers":["nowhere`} {
 		path := ""
 		if old, fresh, ok := strings.Cut(change, "|"); ok || change != "" {
 			path = filepath.Join(t.TempDir(), "bad.json")
@@ -384,8 +411,10 @@
 			}
 		}
 		a := start(t, path)
-		if err := a.end(t); err == nil || strings.Count(a.log.String(), "\n") != 1 || !strings.HasPrefix(a.log.String(), "madderhollow: ") {
-			t.Errorf("%q: %v\n%s", change, err, a.text())
+		a.end(t)
+		if code := a.ProcessState.ExitCode(); code != 2 || strings.Count(a.log.String(), "\n") != 1 ||
+			!strings.HasPrefix(a.log.String(), "madderhollow: ") {
+			t.Errorf("%q: status %d\n%s", change, code, a.text())
 		}
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -10,8 +11,10 @@
 	"os"
 	"slices"
 	"strconv"
+	"time"
 
 	"madderhollow/assign"
+	"madderhollow/internal/backoff"
 	"madderhollow/internal/wire"
 	"madderhollow/settings"
 )
@@ -55,6 +58,27 @@
 	usualSockets  = 1024
 )
 
+const (
+	// lookFor is how long a file that cannot be used may still be in the making: whoever starts an assigner may
+	// write its file at the same moment. A fault in it is told within a second all the same.
+	lookFor = 600 * time.Millisecond
+	// lookAgain is the pause between looks.
+	lookAgain = 20 * time.Millisecond
+)
+
+// Await is Load, looking again for a short while where the file is missing or cannot be used.
+func Await(ctx context.Context, env func(string) string) (*Config, error) {
+	for end := time.Now().Add(lookFor); ; backoff.Sleep(ctx, lookAgain) {
+		c, err := Load(env)
+		if err == nil || env("EDGE_CONFIG") == "" || time.Now().After(end) {
+			return c, err
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+}
+
 // Load reads the file that EDGE_CONFIG names; the other variables go before what stands in it.
 func Load(env func(string) string) (*Config, error) {
 	path := env("EDGE_CONFIG")
@@ -103,6 +127,15 @@
 	need := [][2]string{{"listen", c.Listen}, {"discovery", c.Discovery}, {"relay.address", c.Relay}}
 	if c.MayTell() {
 		need = append(need, [2]string{"peer_listen", c.PeerListen})
+		for _, p := range c.Peers {
+			need = append(need, [2]string{"peers", p})
+		}
+		if c.PeersAll != "" {
+			need = append(need, [2]string{"peers_all", c.PeersAll})
+		}
+	}
+	if _, err := wire.NewCodec(c.Settings, time.Now()).Listed(c.Known); err != nil {
+		return nil, fmt.Errorf("configuration: known: %w", err)
 	}
 	return c, addresses(need...)
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -369,6 +369,12 @@
 	}
 }
 
+// Now is Take without waiting, for what is left at the end.
+func (x *Exchange) Now() (Call, bool) {
+	c, ok, _ := x.take()
+	return c, ok
+}
+
 // full tells whether a proxy that an order reaches has got as many messages as it may. Its orders then wait,
 // in their order, beside those of others: tables are told apart by who uses them.
 func (x *Exchange) full(o assign.Order) (full bool) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -39,7 +39,7 @@
 	go func() { defer wg.Done(); s.Run(ctx) }()
 	defer wg.Wait()
 	defer stop()
-	us := s.conn.LocalAddr()
+	us := s.conn.Load().LocalAddr()
 	stranger, err := net.Dial("udp", us.String())
 	if err != nil {
 		t.Fatal(err)
@@ -67,3 +67,44 @@
 		}
 	}
 }
+
+// Where the address is still another's, it is opened once that one is gone; till then what is told goes nowhere.
+func TestAddressStillHeld(t *testing.T) {
+	held, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	other, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	us := held.LocalAddr()
+	got := make(chan assign.Event, 1000)
+	s, err := Open(us.String(), "", []string{us.String(), other.LocalAddr().String()},
+		func(_ context.Context, e assign.Event) error { got <- e; return nil }, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); s.Run(ctx) }()
+	defer func() { stop(); <-ended }()
+	s.Tell(1, []byte("early"))
+	held.Close()
+	for end := time.Now().Add(5 * time.Second); ; {
+		other.WriteTo([]byte("hi"), us)
+		select {
+		case e := <-got:
+			if want := (assign.Heard{From: 1, Data: []byte("hi")}); !reflect.DeepEqual(e, want) {
+				t.Errorf("got %+v", e)
+			}
+			return
+		case <-time.After(10 * time.Millisecond): // datagrams to a closed port are lost
+			if time.Now().After(end) {
+				t.Fatal("nothing arrived")
+			}
+		}
+	}
+}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -28,8 +29,12 @@
 	// dialWithin: a connection on the platform's network is up in milliseconds or never; one that was begun while
 	// the relay was away may never come up after its return, so that a long wait would cost a drain.
 	dialWithin = 150 * time.Millisecond
-	// idleMost: the relay closes a connection idle for 10 s or less; a call into one that closes is in doubt.
+	// idleMost: the relay closes a connection idle for 10 s or less; a call into one that closes is in doubt. A close
+	// that has arrived is seen before a call goes out, one that is under way is not.
 	idleMost = 2 * time.Second
+	// lastWithin is what is left for the call under way and one with what waits, once the program is told to end:
+	// it may be killed 0.7 s after that, and cut calls are in doubt for nobody.
+	lastWithin = 400 * time.Millisecond
 	// againFirst and againMost bound the pauses after calls that never went out: a drain's grace runs on while
 	// the relay is away, so its return must be met at once. Connections that do not come up cost it nothing.
 	againFirst, againMost = 5 * time.Millisecond, 60 * time.Millisecond
@@ -64,14 +69,20 @@
 		pauses: backoff.Pauses{First: againFirst, Most: againMost, Rng: rand.New(rand.NewSource(seed))}}
 }
 
-// Run calls until the context ends.
-func (c *Caller) Run(ctx context.Context) {
+// Run calls until the context ends; the call under way and what waits then still go out, within lastWithin.
+func (c *Caller) Run(till context.Context) {
+	ctx, end := context.WithCancel(context.WithoutCancel(till))
+	defer end()
+	defer context.AfterFunc(till, func() { time.AfterFunc(lastWithin, end) })()
 	defer c.hangUp()
 	refused := "" // the order that the last call ended at
 	for unread := 0; ; {
-		call, err := c.x.Take(ctx)
+		call, err := c.x.Take(till)
 		if err != nil {
-			return
+			var ok bool
+			if call, ok = c.x.Now(); !ok || ctx.Err() != nil {
+				return
+			}
 		}
 		answer, sent, err := c.call(ctx, call)
 		switch {
@@ -130,7 +141,7 @@
 // connect sees to a connection. One to an address that was left serves on until the new one stands.
 func (c *Caller) connect(ctx context.Context) error {
 	address, _ := c.address.Now()
-	if c.conn != nil && time.Since(c.used) > idleMost {
+	if c.conn != nil && (time.Since(c.used) > idleMost || c.r.Buffered() > 0 || closed(c.conn)) {
 		c.hangUp()
 	}
 	if c.conn != nil && (c.at == address || time.Now().Before(c.try)) {
@@ -150,6 +161,26 @@
 	return nil
 }
 
+// closed tells whether a close has arrived, or anything else that nobody asked for: a call into such a connection would
+// be in doubt, and with it all orders that follow.
+func closed(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil || conn.SetReadDeadline(time.Time{}) != nil {
+		return true
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, err := syscall.Read(int(fd), make([]byte, 1))
+		open = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err != nil || !open
+}
+
 // call sends one call. Sent: all its bytes went out, so that after an error it is in doubt.
 func (c *Caller) call(ctx context.Context, call exchange.Call) (a wire.Answer, sent bool, err error) {
 	if err := c.connect(ctx); err != nil {
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -49,7 +49,7 @@
 	d := &Discovery{index: index, list: list, changed: map[string]int64{}, wake: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/servers", d.ask)
-	d.place = &place{handler: mux}
+	d.place = &place{handler: mux, idle: map[net.Conn]bool{}}
 	return d, d.place.open(address)
 }
 
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -56,6 +56,7 @@
 	classes []string
 	mu      sync.Mutex
 	readers map[chan string]struct{}
+	order   []chan string // the readers, the first one first
 	place   *place
 	stop    chan struct{}
 }
@@ -66,6 +67,7 @@
 	mu       sync.Mutex
 	servers  []*http.Server
 	listener net.Listener
+	idle     map[net.Conn]bool // connections that no call is under way on
 }
 
 // NewRelay starts a relay at an address, or at a free port if that is empty, for proxies with these classes.
@@ -75,7 +77,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /{$}", r.call)
 	mux.HandleFunc("GET /stream", r.stream)
-	r.place = &place{handler: mux}
+	r.place = &place{handler: mux, idle: map[net.Conn]bool{}}
 	return r, r.place.open(address)
 }
 
@@ -87,7 +89,13 @@
 	if err != nil {
 		return fmt.Errorf("stand-in: %w", err)
 	}
-	s := &http.Server{Handler: p.handler}
+	s := &http.Server{Handler: p.handler, ConnState: func(c net.Conn, state http.ConnState) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if delete(p.idle, c); state == http.StateIdle {
+			p.idle[c] = true
+		}
+	}}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.servers, p.listener = append(p.servers, s), l
@@ -126,6 +134,18 @@
 // Move takes it to another address; connections to the one before stay open for a time.
 func (r *Relay) Move(to string, after time.Duration) error { return r.place.move(to, after) }
 
+// CloseIdle closes the connections that no call is under way on, as a relay does after a while, and tells how many.
+func (r *Relay) CloseIdle() int {
+	r.place.mu.Lock()
+	defer r.place.mu.Unlock()
+	for c := range r.place.idle {
+		c.Close()
+	}
+	n := len(r.place.idle)
+	clear(r.place.idle)
+	return n
+}
+
 // Close ends it and all its connections.
 func (r *Relay) Close() {
 	close(r.stop)
@@ -169,18 +189,45 @@
 	defer r.mu.Unlock()
 	r.send(last)
 	for c := range r.readers {
-		close(c)
-		delete(r.readers, c)
+		r.cut(c)
+	}
+}
+
+// Sign sends a sign of life at once.
+func (r *Relay) Sign() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.send(":\n\n")
+}
+
+// Readers tells how many streams of news are open.
+func (r *Relay) Readers() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.readers)
+}
+
+// CutOldest breaks the stream of news that was opened first.
+func (r *Relay) CutOldest() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.order) > 0 {
+		r.cut(r.order[0])
 	}
 }
 
+func (r *Relay) cut(c chan string) {
+	close(c)
+	delete(r.readers, c)
+	r.order = slices.DeleteFunc(r.order, func(o chan string) bool { return o == c })
+}
+
 func (r *Relay) send(text string) {
 	for c := range r.readers {
 		select {
 		case c <- text:
 		default: // a reader that far behind is cut off
-			close(c)
-			delete(r.readers, c)
+			r.cut(c)
 		}
 	}
 }
@@ -194,7 +241,7 @@
 	for _, id := range slices.Sorted(maps.Keys(r.Proxies)) {
 		fmt.Fprint(w, r.joined(id))
 	}
-	r.readers[news] = struct{}{}
+	r.readers[news], r.order = struct{}{}, append(r.order, news)
 	every := r.SignEvery
 	r.mu.Unlock()
 	flush.Flush()
@@ -214,7 +261,9 @@
 			fmt.Fprint(w, ":\n\n")
 		case <-req.Context().Done():
 			r.mu.Lock()
-			delete(r.readers, news)
+			if _, open := r.readers[news]; open {
+				r.cut(news)
+			}
 			r.mu.Unlock()
 			return
 		}
