Module: tables dealt without sorting the fleet, proxies that come at once share as one

Nine tenths was sorting all tasks for each proxy (proxy.draw). Then: each joining posted a note to every proxy that had a share (split.take), 2.9 million notes where 2,400 come in a turn, and since notes overlap, each newcomer got the share of the first: two in one turn were dealt 2/3 and 1/3 instead of a half.

The test of shares was seen to fail without its change.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -71,6 +71,7 @@
 	goneNote  struct{}
 	levelNote struct{ share, amount float64 }
 	admitNote struct{ p *proxy }
+	shareNote struct{}
 	lookNote  struct{ p *proxy } // nil: at all
 	sentNote  struct {
 		orders []Order
@@ -233,8 +234,8 @@
 	return a.crowd[i]
 }
 
-// list follows the list of tasks. A task keeps its record when it goes: proxies may hold it still. Ids that are
-// used once would pile up, so it is forgotten later; from then on any standing table may hold what nobody knows.
+// list follows the list of tasks. A task keeps its record when it goes: proxies may hold it still. Ids that
+// are used once would pile up, so it is forgotten later; then any standing table may hold what nobody knows.
 func (a *Assigner) list(e Listed) {
 	if e.Failed {
 		a.out = append(a.out, Follow{true})
@@ -574,8 +575,8 @@
 
 type cand struct {
 	line
-	far, cold       bool
-	fails, due, key float64 // due: what the tables dealt so far bring a unit of its weight; key: its place
+	far, cold, trial bool
+	fails, due, key  float64 // due: what the tables dealt so far bring a unit of its weight; key: its place
 }
 
 // plan is what a group's tables in a zone are dealt from, worked out once a look: a large fleet costs CPU.
@@ -595,13 +596,14 @@
 	have, most, near, thaws := 0.0, 0.0, 0.0, false
 	for _, t := range a.fleet {
 		w := t.size * t.part(a, z.name)
-		if t.strange(a, z.name) {
+		trial := t.strange(a, z.name)
+		if trial {
 			w = math.Min(w, math.Sqrt(leastEase)*t.size)
 		}
 		if w <= 0 || !g.open(t, z.name) {
 			continue
 		}
-		c := &cand{line{t, w}, t.zone != z.name, t.warm(a) < 1, t.view(a, z.name).fails, 0, 0}
+		c := &cand{line{t, w}, t.zone != z.name, t.warm(a) < 1, trial, t.view(a, z.name).fails, 0, 0}
 		have += c.w
 		if c.cold && (z.shaky || c.far && !g.like.shut(z.name)) {
 			last = append(last, c) // its own zone's proxies warm it: they know what they bring there
@@ -661,31 +663,43 @@
 	}
 }
 
+// first gives the next n to be dealt, in their order; to sort all for each proxy costs a large fleet a core.
+func (d *plan) first(far bool, n int) []*cand {
+	l := make([]*cand, 0, n+1)
+	for _, c := range d.cands {
+		i := len(l)
+		for c.far == far && i > 0 && (c.key < l[i-1].key || c.key == l[i-1].key && c.t.lot < l[i-1].t.lot) {
+			i--
+		}
+		if c.far == far && i < n {
+			l = slices.Insert(l, i, c)
+			l = l[:min(len(l), n)]
+		}
+	}
+	return l
+}
+
 // draw gives the lines of an own table: the zone's tasks first, since crossing is charged, then others till
 // it carries what the zone's usually do. Full: how much of that a table with cold tasks carries; 0 without.
 func (p *proxy) draw(a *Assigner, g *tableGroup) (lines []line, full float64) {
 	d := a.zone(p.zone).plan(a, g)
 	d.deal(p, p.laid[g.pos], -1)
-	for _, c := range d.cands { // a line is kept until another is clearly better: a new connection is dear
-		if c.key = c.due; c.t.strange(a, p.zone) {
+	for _, c := range d.cands {
+		if c.key = c.due; c.trial {
 			c.key /= math.Sqrt(leastEase)
 		}
-		if weight(p.laid[g.pos], c.t) > 0 {
+	}
+	for _, l := range p.laid[g.pos] { // it is kept until another is clearly better: a new connection is dear
+		if c := d.at[l.t]; c != nil && l.w > 0 {
 			c.key = c.due/steady - 1e-9
 		}
 	}
-	slices.SortFunc(d.cands, func(x, y *cand) int {
-		return cmp.Or(cmp.Compare(x.key, y.key), cmp.Compare(x.t.lot, y.t.lot))
-	})
 	n := int(math.Round(a.split.lines))
 	far := min(int(math.Round(d.far*float64(n))), n-1) // a zone that has any task keeps a line
 	cold, sound := 0.0, 0.0
 	pick := func(far bool, n int) (sum, listed float64) {
-		for _, c := range d.cands {
-			if c.far != far || n <= 0 {
-				continue
-			}
-			lines, n, sum, listed = append(lines, c.line), n-1, sum+c.w, listed+c.t.size
+		for _, c := range d.first(far, n) {
+			lines, sum, listed = append(lines, c.line), sum+c.w, listed+c.t.size
 			if c.cold {
 				cold += c.w
 			} else {
@@ -810,6 +824,7 @@
 	total       float64 // 0: unset
 	fails       float64 // mean share of failed tries at the tasks heard of
 	lines, next float64 // of an own table, and when that may change
+	fresh       []*proxy
 }
 
 func (s *split) active(a *Assigner) (l []*proxy) {
@@ -824,14 +839,24 @@
 }
 
 func (s *split) take(a *Assigner, n note) {
+	if n, ok := n.(admitNote); ok { // with those of its turn: one by one a fleet coming at once costs its square
+		if s.fresh = append(s.fresh, n.p); len(s.fresh) == 1 {
+			a.post(s, shareNote{})
+		}
+		return
+	}
 	l, use := s.active(a), 0.0
-	if n, ok := n.(admitNote); ok { // a new proxy gets an equal share, the others are scaled down to match
-		if part := 1 / float64(len(l)+1); n.p.share == 0 {
-			for _, q := range l {
-				a.post(q, levelNote{q.share * (1 - part), q.level})
-			}
-			a.post(n.p, levelNote{part, 0})
+	if _, ok := n.(shareNote); ok { // a new proxy gets an equal share, the others are scaled down to match
+		slices.SortFunc(s.fresh, func(x, y *proxy) int { return cmp.Compare(x.id, y.id) })
+		s.fresh = slices.DeleteFunc(slices.Compact(s.fresh), func(p *proxy) bool { return p.share > 0 })
+		many := float64(len(s.fresh))
+		for _, q := range l {
+			a.post(q, levelNote{q.share * (1 - many/(float64(len(l))+many)), q.level})
+		}
+		for _, p := range s.fresh {
+			a.post(p, levelNote{1 / (float64(len(l)) + many), 0})
 		}
+		s.fresh = nil
 		return
 	}
 	for _, k := range a.kinds {
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -614,3 +614,23 @@
 		t.Errorf("%d records; the late proxy keeps its standing table: %v", len(a.fleet), !bound)
 	}
 }
+
+// Proxies that come in one turn get equal shares of what is split, those that were there are scaled down to match, and
+// the shares stay a whole.
+func TestProxiesComingAtOnceShareEqually(t *testing.T) {
+	w := newWorld(1)
+	w.open()
+	come := func(n int) (l []Event) {
+		for i := range n {
+			l = append(l, Joined{Proxy: i, Zone: string("xyz"[i%3]), Rate: 10, Fresh: true})
+		}
+		return l
+	}
+	w.a.Handle(w.now, come(2))
+	w.a.Handle(w.now, come(8))
+	for i := range 8 {
+		if p := w.a.proxy(i); math.Abs(p.share-1.0/8) > 1e-9 {
+			t.Errorf("proxy %d has a share of %g", i, p.share)
+		}
+	}
+}
--- /dev/null
+++ b/assign/bench_test.go
@@ -0,0 +1,72 @@
+package assign
+
+import (
+	"fmt"
+	"testing"
+)
+
+// fleet is an assigner at which so many proxies are joined that hold what nobody knows, so that each gets tables of its
+// own, and a clock that hands over reports of every task and answers every mark.
+func fleet(b *testing.B, proxies, tasks int) (a *Assigner, turn func(dt float64, more ...Event)) {
+	b.Helper()
+	cfg := settings()
+	cfg["proxies"], cfg["channel.limit"] = float64(proxies), 30000.0
+	a = New(1, cfg)
+	var entries []Entry
+	for i := range tasks {
+		entries = append(entries, Entry{Zone: string("xyz"[i%3]), Task: fmt.Sprint("t", i), Size: 1 + float64(i%2)})
+	}
+	events := []Event{Listed{Whole: true, Entries: entries}}
+	for i := range proxies {
+		events = append(events, Joined{Proxy: i, Zone: string("xyz"[i%3]), Rate: 10})
+	}
+	now := 1000.0
+	turn = func(dt float64, more ...Event) {
+		now += dt
+		wrote, mark := map[int]bool{}, -1
+		for _, o := range a.Handle(now, more) {
+			switch o := o.(type) {
+			case SetLine:
+				wrote[o.Table/len(a.groups)] = true
+			case Mark:
+				mark = o.Mark
+			}
+		}
+		events = events[:0]
+		for p := range wrote {
+			events = append(events, Applied{Proxy: p, Mark: mark})
+		}
+		a.Handle(now, events)
+	}
+	turn(0, events...)
+	for range 200 {
+		turn(0.1)
+	}
+	return a, turn
+}
+
+// A second of a large fleet amid a release: ten turns, each with a task that drains and one that starts, and reports.
+func BenchmarkSecondOfARelease(b *testing.B) {
+	for _, n := range []int{480, 2400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			_, turn := fleet(b, n, 200)
+			i := 0
+			for b.Loop() {
+				for range 10 {
+					var events []Event
+					for t := range 40 {
+						events = append(events, Met{Zone: string("xyz"[t%3]), Task: fmt.Sprint("t", (i*40+t)%200), Span: 1, Mean: 0.2, Tries: 20,
+							Load: []float64{0.5}})
+					}
+					for p := range n / 10 {
+						events = append(events, Used{Proxy: (i*n/10 + p) % n, Kind: "read", Span: 1, Reqs: 10})
+					}
+					out := Entry{Zone: string("xyz"[i%200%3]), Task: fmt.Sprint("t", i%200), Size: 1, State: Draining}
+					in := Entry{Zone: string("xyz"[(i+100)%200%3]), Task: fmt.Sprint("t", (i+100)%200), Size: 1, State: Ready}
+					turn(0.1, append(events, Listed{Entries: []Entry{out, in}})...)
+					i++
+				}
+			}
+		})
+	}
+}
