Memory bounds hold at 32 MB; an agent that is behind brings nothing back

Cause, by reading, then by tests: 16 collectors with a line of 1 MiB each under way could hold 16 MiB and more (intake.read), an answer of discovery 8 MiB and what decoding makes of it (discovery.ask): beyond an assigner of 32 MB. Three lower lists in a row, which come within 0.2 s, counted as versions begun anew (discovery.take), so that an agent behind for a moment brought back tasks that had left. Settings without zones refused every report and every proxy (wire.zone).

Change: lines under way share an eighth of the memory, what finds no room is skipped; an answer may have a thirty-second of it; lower lists amid a life have to come for 2 s; without zones a message names none. Tests take ports that the kernel does not deal out: one failed under load as its port was another's.

--- a/cmd/madderhollow/main.go
+++ b/cmd/madderhollow/main.go
@@ -106,10 +106,10 @@
 	defer l.Close()
 	x := exchange.New(cfg.Settings, codec, log)
 	agentAt, relayAt := moving.At(cfg.Discovery), moving.At(cfg.Relay)
-	watch := discovery.New(agentAt, known.Version, codec, x.Post, chance.Int63(), log)
+	watch := discovery.New(agentAt, known.Version, codec, x.Post, cfg.MemoryMB, chance.Int63(), log)
 	calls := relay.NewCaller(relayAt, x, chance.Int63(), log)
 	news := relay.NewReader(relayAt, codec, x.Post, chance.Int63(), log)
-	server := intake.New(codec, x.Report, cfg.Sockets, log)
+	server := intake.New(codec, x.Report, cfg.Sockets, cfg.MemoryMB, log)
 	ports := host.Ports{Follow: watch.Follow, Fetch: watch.Fetch, Tell: func(int, []byte) {}}
 	decided, end := context.WithCancel(context.WithoutCancel(ctx)) // when the module gives no more orders
 	defer end()
--- a/cmd/madderhollow/main_test.go
+++ b/cmd/madderhollow/main_test.go
@@ -107,22 +107,26 @@
 	}
 }
 
+// free gives an address that nobody holds, below the ports that the kernel deals out: between now and the program's start
+// a connection of another test might be dealt it.
 func free(t *testing.T, network string) string {
 	t.Helper()
-	if network == "udp" {
-		c, err := net.ListenPacket(network, "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	for range 1000 {
+		address := fmt.Sprint("127.0.0.1:", 10000+rand.Intn(20000))
+		var c io.Closer
+		var err error
+		if network == "udp" {
+			c, err = net.ListenPacket(network, address)
+		} else {
+			c, err = net.Listen(network, address)
+		}
+		if err == nil {
+			c.Close()
+			return address
 		}
-		defer c.Close()
-		return c.LocalAddr().String()
-	}
-	l, err := net.Listen(network, "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 type place struct {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -34,11 +34,14 @@
 	// againFirst and againMost bound the pauses between failed tries: what discovery has counts as told after
 	// 6 s, and a drain's grace may be 3 s.
 	againFirst, againMost = 20 * time.Millisecond, 300 * time.Millisecond
-	// bodyMost bounds an answer; a thousand tasks make 200 KB.
-	bodyMost = 8 << 20
-	// lowerMost whole lists in a row with a lower version mean that discovery counts anew; one may be an
-	// agent that is behind.
+	// bodyMost bounds an answer, and so does bodyPart of the memory, which reading it takes several times; a thousand
+	// tasks make 200 KB.
+	bodyMost, bodyPart = 8 << 20, 32
+	// lowerMost whole lists in a row with a lower version mean that discovery counts anew, once they have come for
+	// lowerFor: till then it may be an agent that is behind, whose list would bring back what has gone. What discovery
+	// has counts as told after 6 s.
 	lowerMost = 3
+	lowerFor  = 2 * time.Second
 )
 
 // Sink takes an event; it may wait.
@@ -54,14 +57,17 @@
 	asked   atomic.Bool // the module asked for the list, so it is told of failures
 	fetch   atomic.Bool // it wants the whole list
 
-	version int  // of the list held
-	begun   bool // it came from discovery in this life
-	lower   int  // whole lists in a row that were older
+	version int       // of the list held
+	begun   bool      // it came from discovery in this life
+	lower   int       // whole lists in a row that were older
+	since   time.Time // when the first of them came
+	most    int       // bytes of an answer
 }
 
-// New makes a watcher of the agent at an address; known is the version of the list that the module starts with.
-func New(address *moving.Address, known int, codec *wire.Codec, sink Sink, seed int64, log zerolog.Logger) *Watcher {
-	return &Watcher{address: address, version: known, codec: codec, sink: sink, log: log,
+// New makes a watcher of the agent at an address, in so many MB of memory; known is the version of the list that the
+// module starts with.
+func New(address *moving.Address, known int, codec *wire.Codec, sink Sink, memoryMB int, seed int64, log zerolog.Logger) *Watcher {
+	return &Watcher{address: address, version: known, codec: codec, sink: sink, log: log, most: min(bodyMost, memoryMB<<20/bodyPart),
 		pauses: backoff.Pauses{First: againFirst, Most: againMost, Rng: rand.New(rand.NewSource(seed))}}
 }
 
@@ -107,11 +113,14 @@
 		return false
 	}
 	l := a.list
+	if l.Version < w.version && w.lower == 0 {
+		w.since = time.Now()
+	}
 	switch {
 	case l.Version < w.version && !l.Whole:
 		w.lower = max(w.lower, 1)
 		a.err = fmt.Errorf("changes of version %d to a list of version %d", l.Version, w.version)
-	case l.Version < w.version && w.lower < lowerMost:
+	case l.Version < w.version && (w.lower < lowerMost || w.begun && time.Since(w.since) < lowerFor):
 		w.lower++
 		a.err = fmt.Errorf("a list of version %d after one of version %d", l.Version, w.version)
 	case l.Version < w.version:
@@ -176,8 +185,8 @@
 		return l, true, fmt.Errorf("answer: %w", err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, bodyMost+1))
-	if err != nil || len(body) > bodyMost {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(w.most)+1))
+	if err != nil || len(body) > w.most {
 		return l, true, fmt.Errorf("answer of %d bytes: %w", len(body), err)
 	}
 	if resp.StatusCode != http.StatusOK {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -45,7 +45,7 @@
 	}
 	b := &bench{Discovery: d, at: moving.At(d.Address()), news: make(chan assign.Listed, 1000)}
 	sink := func(_ context.Context, e assign.Event) error { b.news <- e.(assign.Listed); return nil }
-	b.w = New(b.at, known, wire.NewCodec(assign.Settings{}, time.Now()), sink, 1, zerolog.Nop())
+	b.w = New(b.at, known, wire.NewCodec(assign.Settings{}, time.Now()), sink, 64, 1, zerolog.Nop())
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Add(1)
@@ -203,3 +203,89 @@
 		}
 	}
 }
+
+// An agent that is behind for a moment, amid a watch, brings nothing back that has gone, however often it is asked; the
+// next list that is newer is taken.
+func TestAgentBehindForAMoment(t *testing.T) {
+	b := newBench(t)
+	b.Change(entry("s", "leaving"))
+	if l := b.next(t); l.Version != 42 {
+		t.Fatalf("got %+v", l)
+	}
+	var behind atomic.Int32
+	b.OnAsk(func(w http.ResponseWriter, _ *http.Request) bool {
+		if behind.Add(1) > lowerMost+3 {
+			return false
+		}
+		fmt.Fprint(w, `{"index":40,"snapshot":true,"endpoints":[{"name":"s","status":"active","weight":1}]}`)
+		return true
+	})
+	if !standin.Until(soon, func() bool { return behind.Load() > lowerMost+3 }) {
+		t.Fatalf("it was asked %d times", behind.Load())
+	}
+	b.Change(entry("u", "leaving"))
+	for l := b.next(t); l.Version != 43; l = b.next(t) {
+		if l.Version < 42 {
+			t.Fatalf("got %+v", l)
+		}
+	}
+}
+
+// The watch's answer ends as the address moves: it was of the old agent, its list stands, and no change is lost.
+func TestAnswerEndsAsTheAddressMoves(t *testing.T) {
+	b := newBench(t)
+	held, goOn := make(chan struct{}, 10), make(chan struct{})
+	old := b.Address()
+	b.OnAsk(func(w http.ResponseWriter, r *http.Request) bool {
+		if r.Host != old {
+			return false
+		}
+		held <- struct{}{}
+		<-goOn
+		return false
+	})
+	b.Change(entry("s", "leaving")) // a watch under way is answered, the next one is held
+	<-held
+	if err := b.Move("", time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	b.at.Move(b.Address())
+	l := b.next(t)
+	if !l.Whole { // of the watch that was answered
+		l = b.next(t)
+	}
+	if l.Version != 42 || !l.Whole {
+		t.Fatalf("from the new address came %+v", l)
+	}
+	close(goOn) // nobody waits for it any more
+	b.Change(entry("u", "leaving"))
+	if l := b.next(t); l.Version != 43 || len(l.Entries) != 1 {
+		t.Errorf("got %+v", l)
+	}
+}
+
+// An answer larger than the memory bears is not read.
+func TestAnswerLargerThanTheMemoryBears(t *testing.T) {
+	b := newBench(t)
+	var big atomic.Int32
+	b.OnAsk(func(w http.ResponseWriter, _ *http.Request) bool {
+		if big.Add(1) > 1 {
+			return false
+		}
+		fmt.Fprint(w, `{"index":99,"snapshot":true,"endpoints":[`)
+		for i := range 64 << 20 / bodyPart / 20 {
+			if _, err := fmt.Fprintf(w, `{"name":"%08d","status":"active","weight":1},`, i); err != nil {
+				break
+			}
+		}
+		fmt.Fprint(w, `{"name":"last","status":"active","weight":1}]}`)
+		return true
+	})
+	b.Change(entry("s", "leaving"))
+	for l := b.next(t); l.Version != 42; l = b.next(t) {
+		t.Errorf("got a list of version %d with %d entries", l.Version, len(l.Entries))
+	}
+	if !standin.Until(soon, func() bool { return big.Load() > 1 }) {
+		t.Error("it is not asked again")
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -36,9 +36,9 @@
 	badFirst, badMost = 4, 12
 	// spare descriptors of the limit stay for what is no client: listener, relay, discovery, peers, runtime.
 	spare = 64
-	// collectorsMost stay open, each with a line of up to 1 MiB under way: there is one a zone, and the remains of
-	// broken ones. Who only says that it is one must not fill the memory.
-	collectorsMost = 16
+	// collectorsMost stay open: there is one a zone, and the remains of broken ones. Who only says that it is one must
+	// not fill the memory, so all lines under way share linesPart of it; what is longer than is left is skipped.
+	collectorsMost, linesPart = 16, 8
 	// youngest is how old a stranger is at least before it goes for want of descriptors: a collector's first line
 	// may be on its way.
 	youngest = 100 * time.Millisecond
@@ -62,11 +62,13 @@
 	log   zerolog.Logger
 	noise zerolog.Logger // of what strangers and spoilt lines give rise to
 	most  int
+	bytes int64 // that lines under way may hold
 
 	mu      sync.Mutex
 	clients map[*client]struct{}
 
 	reports, spoilt, strangers atomic.Int64
+	held                       atomic.Int64 // bytes of lines under way
 }
 
 // Counts are for operators: reports handed on, lines that could not be, and clients let go that were no collectors.
@@ -81,13 +83,15 @@
 	heard atomic.Int64 // when, in Unix nanoseconds, it last sent anything
 
 	zone atomic.Pointer[string] // of a collector; nil: a stranger
+	long []byte                 // a line's beginning, where it is longer than the reader's buffer
 	good bool                   // it has brought a report
 	bad  int                    // lines in a row that could not be read
 }
 
-// New makes a server that may hold so many descriptors.
-func New(codec *wire.Codec, sink Sink, sockets int, log zerolog.Logger) *Server {
+// New makes a server that may hold so many descriptors, in so many MB of memory.
+func New(codec *wire.Codec, sink Sink, sockets, memoryMB int, log zerolog.Logger) *Server {
 	return &Server{codec: codec, sink: sink, log: log, most: max(1, sockets-spare), clients: map[*client]struct{}{},
+		bytes: int64(memoryMB) << 20 / linesPart,
 		noise: log.Sample(&zerolog.BurstSampler{Burst: logBurst, Period: logEvery})}
 }
 
@@ -152,11 +156,27 @@
 // forget is where a connection is given back.
 func (s *Server) forget(c *client) {
 	c.conn.Close()
+	s.drop(c)
 	s.mu.Lock()
 	delete(s.clients, c)
 	s.mu.Unlock()
 }
 
+// keep adds to a line's beginning, if there is room for that.
+func (s *Server) keep(c *client, part []byte) bool {
+	if s.held.Add(int64(len(part))) > s.bytes {
+		s.held.Add(-int64(len(part)))
+		return false
+	}
+	c.long = append(c.long, part...)
+	return true
+}
+
+func (s *Server) drop(c *client) {
+	s.held.Add(-int64(len(c.long)))
+	c.long = nil
+}
+
 // room tells whether another connection may be accepted. Where there are too many, strangers that had time for their
 // first line are closed; who comes next waits with the kernel meanwhile.
 func (s *Server) room() bool {
@@ -192,7 +212,6 @@
 // read takes a client's lines. The error, if any, is why it is let go.
 func (s *Server) read(ctx context.Context, c *client) error {
 	r := bufio.NewReaderSize(c.conn, 1024)
-	var long []byte // a line's beginning, where it is longer than the reader's buffer
 	var begun time.Time
 	skip := false
 	for {
@@ -218,29 +237,30 @@
 		if stranger {
 			most = strangerMost
 		}
-		if len(long)+len(part) > most+1 {
+		if len(c.long)+len(part) > most+1 {
 			if stranger {
 				return fmt.Errorf("a stranger's line is longer than %d bytes", most)
 			}
-			long, skip = nil, true
+			skip = true
 		}
 		if err != nil { // not yet the line's end
 			if begun.IsZero() {
 				begun = now
 			}
-			if !skip {
-				long = append(long, part...)
+			if skip = skip || !s.keep(c, part); skip {
+				s.drop(c)
 			}
 			continue
 		}
 		line := part
-		if len(long) > 0 {
-			line = append(long, part...)
+		if len(c.long) > 0 {
+			line = append(c.long, part...)
 		}
 		if skip {
-			line = nil // longer than a message may be
+			line = nil // longer than a message may be, or than there was room for
 		}
-		long, skip, begun = nil, false, time.Time{}
+		s.drop(c)
+		skip, begun = false, time.Time{}
 		if err := s.line(ctx, c, line); err != nil {
 			return err
 		}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -34,7 +34,7 @@
 		t.Fatal(err)
 	}
 	got = make(chan assign.Event, 10000)
-	s = New(codec, func(_ context.Context, e assign.Event) error { got <- e; return nil }, most+spare, zerolog.Nop())
+	s = New(codec, func(_ context.Context, e assign.Event) error { got <- e; return nil }, most+spare, 32, zerolog.Nop())
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Add(1)
@@ -265,3 +265,42 @@
 		t.Errorf("%d connections are open", len(s.clients))
 	}
 }
+
+// The lines under way of all collectors share a part of the memory: what finds no room is skipped, the lines behind it
+// count, and when they are through nothing is held.
+func TestLinesUnderWayShareTheMemory(t *testing.T) {
+	address, got, s := open(t, 100)
+	long := `{"@type":"usage","node":1,"route":"read","total":1,"errors":0,"interval":1000,"more":"` + strings.Repeat("x", lineMost-200)
+	fit := int(s.bytes) / len(long)
+	var all []*standin.Collector
+	for i := range fit + 2 {
+		c := dial(t, address)
+		if err := c.Write(long); err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, c)
+		held := int64(min(i+1, fit)) * int64(len(long)-1024) // what the reader's buffer holds is not counted
+		if !standin.Until(soon, func() bool { return s.held.Load() >= held }) {
+			t.Fatalf("of %d lines %d bytes are held", i+1, s.held.Load())
+		}
+	}
+	for i, c := range all {
+		if err := c.Write("\"}\n" + fmt.Sprintf(usage, i%8, 100+i, "") + "\n"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	lines, behind := 0, 0
+	for lines+behind < fit+len(all) {
+		if u := next(t, got).(assign.Used); u.Reqs == 1 {
+			lines++
+		} else {
+			behind++
+		}
+	}
+	if !standin.Until(soon, func() bool { return s.held.Load() == 0 }) {
+		t.Errorf("%d bytes are held", s.held.Load())
+	}
+	if lines != fit {
+		t.Errorf("%d long lines came, %d have room", lines, fit)
+	}
+}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -172,8 +172,11 @@
 func (c *Collector) Close() { c.conn.Close() }
 
 // Send writes one line.
-func (c *Collector) Send(line string) error {
-	_, err := c.conn.Write([]byte(line + "\n"))
+func (c *Collector) Send(line string) error { return c.Write(line + "\n") }
+
+// Write writes a text as it is, which may end anywhere.
+func (c *Collector) Write(text string) error {
+	_, err := c.conn.Write([]byte(text))
 	return err
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -154,7 +154,7 @@
 }
 
 func (c *Codec) zone(name string) error {
-	if !slices.Contains(c.zones, name) {
+	if !slices.Contains(c.zones, name) && (name != "" || len(c.zones) > 0) { // a deployment may have none
 		return fmt.Errorf("unknown locality %q", name)
 	}
 	return nil
