--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"reflect"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -289,3 +290,51 @@
 		t.Error("it is not asked again")
 	}
 }
+
+// A whole list amid a watch stands for all before it, and the watch goes on from its version.
+func TestWholeListAmidAWatch(t *testing.T) {
+	b := newBench(t)
+	var asked atomic.Int64
+	b.OnAsk(func(w http.ResponseWriter, r *http.Request) bool {
+		if after, _ := strconv.ParseInt(r.FormValue("after"), 10, 64); after < 60 {
+			fmt.Fprint(w, `{"index":60,"snapshot":true,"endpoints":[{"name":"v","zone":"a","status":"active","weight":1}]}`)
+			return true
+		} else if asked.Store(after); after > 60 {
+			return false
+		}
+		fmt.Fprint(w, `{"index":61,"snapshot":false,"endpoints":[{"name":"v","zone":"a","status":"leaving","weight":1}]}`)
+		return true
+	})
+	b.Change(entry("s", "leaving")) // ends the watch under way
+	l := b.next(t)
+	if l.Version == 42 {
+		l = b.next(t)
+	}
+	if l.Version != 60 || !l.Whole || len(l.Entries) != 1 {
+		t.Errorf("got %+v", l)
+	}
+	if l = b.next(t); l.Version != 61 || l.Whole || l.Entries[0].State != assign.Draining {
+		t.Errorf("got %+v", l)
+	}
+	if !standin.Until(soon, func() bool { return asked.Load() == 61 }) {
+		t.Errorf("it asked for what follows %d", asked.Load())
+	}
+}
+
+// An agent that closes after each answer is asked again at once: the watch goes on, and each change is told once.
+func TestAgentClosesAfterEachAnswer(t *testing.T) {
+	b := newBench(t)
+	b.OnAsk(func(w http.ResponseWriter, r *http.Request) bool {
+		if r.FormValue("after") == "" {
+			t.Error("the whole list was asked for again")
+		}
+		w.Header().Set("Connection", "close")
+		return false
+	})
+	for i := range 5 {
+		b.Change(entry("s", []string{"leaving", "active"}[i%2]))
+		if l := b.next(t); l.Version != 42+i || l.Whole || len(l.Entries) != 1 {
+			t.Errorf("got %+v", l)
+		}
+	}
+}
