Module: an overload and its total are told by all reports, not by the tasks just judged

The third condition failed meanwhile: tries told of were 93 of 271 a second, since split.measure summed the tasks judged in the last two periods, and with 200 tasks a task gets its four tries every four seconds. Ruled out: busy shares and bad answers (both held from 14 s), cuts (mean ease 0.96).

Change: tries, failures and what was answered well are summed by task over a period as they are told (task.done), and measure goes by these.

It may hurt where reports are lost in part: then the total is lower, as before.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -346,19 +346,29 @@
 	answered   float64 // when a good answer was last told of
 	named      float64 // when it was last listed
 	busy       float64 // by its own reports, which count all proxies' reqs
-	told, done float64 // good answers told of since the last beat, and in the second before it
+	told, done sums    // what was told of since the last beat, and a second in the period before it
 	views      []*view
 }
 
+// sums of tries: how many, how many failed, and how many were answered well.
+type sums struct{ tries, failed, well float64 }
+
+func (s *sums) add(o sums, by float64) {
+	s.tries, s.failed, s.well = s.tries+o.tries*by, s.failed+o.failed*by, s.well+o.well*by
+}
+
 // view is a task as the proxies of one zone meet it: a cut between zones is no illness of the task.
 type view struct {
 	zone                      string
 	tries, failed, sum, since float64 // not yet judged
-	judged, well, rate, fails float64 // when; rates answered well and tried then, and the share of failures
+	judged, fails             float64 // when, and the share of failures then
 	late                      bool    // the good answers come late
 	ease, next                float64 // and when it may move again
 }
 
+// wellPart is what of answers with such a mean time counts as well.
+func wellPart(mean, mark float64) float64 { return math.Min(1, math.Max(lateWell, mark/mean)) }
+
 func (v *view) bad() bool { return v.late || v.fails >= failing }
 
 func (t *task) view(a *Assigner, zone string) *view {
@@ -422,15 +432,18 @@
 			t.busy = n.Load[i]
 		}
 		v.tries, v.failed = v.tries+float64(n.Tries), v.failed+float64(n.Failed)
-		good := float64(n.Tries - n.Failed)
-		v.sum, t.told = v.sum+n.Mean*good, t.told+good
+		good, mark := float64(n.Tries-n.Failed), a.lateMark()
+		v.sum += n.Mean * good
+		t.told.add(sums{float64(n.Tries), float64(n.Failed), good * wellPart(n.Mean, mark)}, 1)
 		if n.Tries > n.Failed {
 			if t.answered = a.now; t.dropped {
 				t.state = Ready
 			}
 		}
 	case beatNote:
-		t.done, t.told = t.told/period, 0
+		t.done = sums{}
+		t.done.add(t.told, 1/period)
+		t.told = sums{}
 		if t.dropped {
 			a.post(t, goneNote{})
 		}
@@ -446,10 +459,8 @@
 	if v.tries < fewest/2 || v.tries < fewest && v.ease >= 0.5 {
 		return // a line on trial brings few tries, and most of what there is to learn
 	}
-	mean, mark := v.sum/math.Max(v.tries-v.failed, 1), a.lateMark()
-	v.fails, v.late = v.failed/v.tries, mean > mark
-	v.rate, v.judged = v.tries/math.Max(a.now-v.since, period), a.now
-	v.well = v.rate * (1 - v.fails) * math.Min(1, math.Max(lateWell, mark/mean))
+	v.fails, v.late = v.failed/v.tries, v.sum/math.Max(v.tries-v.failed, 1) > a.lateMark()
+	v.judged = a.now
 	if !v.bad() && a.now >= v.next {
 		v.ease, v.next = math.Min(1, v.ease+easeStep), a.now+period
 	}
@@ -915,29 +926,31 @@
 // was told of: a fresh assigner knows few. While tasks are idle on the whole, late and failed answers come of
 // uneven lines, connections or errors: letting in less mends none, but leaves fewer to set a total by.
 func (s *split) measure(a *Assigner, use float64) (over bool) {
-	heard, bad, done, well, tried, failed, fails := 0, 0, 0.0, 0.0, 1e-9, 0.0, 0.0
-	views, busy, size := 1e-9, 1e-9, 1e-9
+	heard, bad, done, all := 0, 0, 0.0, sums{tries: 1e-9}
+	fails, views, busy, size := 0.0, 1e-9, 1e-9, 1e-9
 	for _, t := range a.fleet {
 		seen, ill := 0, 0
 		for _, v := range t.views {
 			if a.now-v.judged <= 2*period && t.state == Ready {
-				seen, views, well, tried, fails = 1, views+1, well+v.well, tried+v.rate, fails+v.fails
-				failed += v.rate * v.fails
+				seen, views, fails = 1, views+1, fails+v.fails
 				if v.bad() {
 					ill = 1
 				}
 			}
 		}
-		heard, bad, done = heard+seen, bad+ill, done+t.done
+		heard, bad, done = heard+seen, bad+ill, done+t.done.tries-t.done.failed
+		if t.state == Ready {
+			all.add(t.done, 1)
+		}
 		if t.state == Ready && t.busy > 0 && a.now-t.answered <= cutEvery { // older reports are of a jam gone by
 			busy, size = busy+t.busy*t.size, size+t.size
 		}
 	}
 	full := busy > hotFrom*size || a.busyAt < 0
-	s.fails, over = fails/views, full && 2*bad > heard && 2*tried > math.Min(use, cmp.Or(s.total, use))
-	switch lost := failed / tried; { // quick good answers of idle tasks beside failures: connections are scarce
+	s.fails, over = fails/views, full && 2*bad > heard && 2*all.tries > math.Min(use, cmp.Or(s.total, use))
+	switch lost := all.failed / all.tries; { // quick answers of idle tasks beside failures: scarce connections
 	case a.now < s.next:
-	case lost > failing && 2*well > (1+lateWell)*(tried-failed) && !full:
+	case lost > failing && 2*all.well > (1+lateWell)*(all.tries-all.failed) && !full:
 		s.lines, s.next = math.Max(s.lines*(1-lost), 2), a.now+cutEvery
 	case lost < leastEase && s.lines < tableSize:
 		s.lines, s.next = math.Min(s.lines+1, tableSize), a.now+cutEvery
@@ -945,9 +958,9 @@
 	switch {
 	case over:
 		if s.total == 0 {
-			a.logf("overload: %d of %d tasks answer badly; total %.1f/s of %.1f/s", bad, heard, well, use)
+			a.logf("overload: %d of %d tasks answer badly; total %.1f/s of %.1f/s", bad, heard, all.well, use)
 		}
-		s.total = math.Max(well, 0.1)
+		s.total = math.Max(all.well, 0.1)
 	case s.total > 0:
 		// After a jam the total is far too low for a step: busy shares tell how far, where anything was answered.
 		if s.total = math.Max(s.total*step, done*hotFrom*size/busy); s.total > clearOver*use {
