Exchange: a binding that was not carried out leaves its proxy on the table it had

The calls and the counts, logged: a call ended at an order that the relay did not take, before its `attach`; from then on the exchange took the proxy for a user of the new table (exchange.note, x.use), so that lines for the table it really had counted for nobody and were let out. Ruled out: late arrivals on a busy machine (messages stood 1 to 50 ms apart), the count of calls taken back.

Change: where a call is put back, its bindings' proxies count as users of both tables until a binding of theirs was carried out.

TestBindingNotCarriedOut fails without the change.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -79,9 +79,9 @@
 
 // reached is what a joined proxy has got or may have got.
 type reached struct {
-	tables map[string]int // by kinds
-	wrote  int            // calls within the span that reach it
-	last   int            // the number of the last of them
+	tables map[string][]int // by kinds; several where nobody knows which of them it uses
+	wrote  int              // calls within the span that reach it
+	last   int              // the number of the last of them
 }
 
 // written is a call that went out, and whom it reaches.
@@ -105,7 +105,8 @@
 	size  int
 	tried int
 	since time.Time
-	life  int // of the proxy that it binds
+	life  int   // of the proxy that it binds
+	was   []int // the tables which that used before
 }
 
 // key names what an order sets: a later one with the same key makes the earlier one needless.
@@ -214,7 +215,7 @@
 			anew[e.Proxy] = true
 			x.lives[e.Proxy]++
 			if p := x.joined[e.Proxy]; p == nil {
-				x.joined[e.Proxy] = &reached{tables: map[string]int{}}
+				x.joined[e.Proxy] = &reached{tables: map[string][]int{}}
 			}
 			if _, ok := x.bound[e.Proxy]; ok {
 				e.Fresh = false
@@ -226,7 +227,7 @@
 			x.lives[e.Proxy]++
 			if p := x.joined[e.Proxy]; p != nil {
 				for _, kinds := range slices.Collect(maps.Keys(p.tables)) {
-					x.use(p, kinds, -1)
+					x.use(p, kinds)
 				}
 			}
 			delete(x.joined, e.Proxy)
@@ -278,7 +279,7 @@
 			x.log.Error().Err(err).Msg("order dropped: it cannot be written")
 			continue
 		}
-		w := &entry{o, text, len(url.QueryEscape(text)) + len("%3B"), -1, time.Now(), 0}
+		w := &entry{o, text, len(url.QueryEscape(text)) + len("%3B"), -1, time.Now(), 0, nil}
 		if b, ok := o.(assign.Bind); ok {
 			w.life = x.lives[b.Proxy]
 		}
@@ -414,20 +415,40 @@
 }
 
 // use keeps who uses each table: with hundreds of proxies nobody can look through all of them at each order.
-func (x *Exchange) use(p *reached, kinds string, table int) {
-	old, had := p.tables[kinds]
-	if delete(p.tables, kinds); had && !slices.Contains(slices.Collect(maps.Values(p.tables)), old) {
-		if delete(x.users[old], p); len(x.users[old]) == 0 {
-			delete(x.users, old)
+func (x *Exchange) use(p *reached, kinds string, tables ...int) {
+	old := p.tables[kinds]
+	if p.tables[kinds] = tables; len(tables) == 0 {
+		delete(p.tables, kinds)
+	}
+	for _, t := range old {
+		used := false
+		for _, l := range p.tables {
+			used = used || slices.Contains(l, t)
+		}
+		if used {
+			continue
+		}
+		if delete(x.users[t], p); len(x.users[t]) == 0 {
+			delete(x.users, t)
 		}
 	}
-	if table < 0 {
-		return
+	for _, t := range tables {
+		if x.users[t] == nil {
+			x.users[t] = map[*reached]struct{}{}
+		}
+		x.users[t][p] = struct{}{}
 	}
-	if p.tables[kinds] = table; x.users[table] == nil {
-		x.users[table] = map[*reached]struct{}{}
+}
+
+// unsettle takes back that a binding was carried out: which table its proxy uses is not known till the next one was.
+func (x *Exchange) unsettle(w *entry) {
+	b, ok := w.order.(assign.Bind)
+	if p := x.joined[b.Proxy]; ok && p != nil && w.life == x.lives[b.Proxy] {
+		kinds := positions(b.Kinds)
+		tables := slices.Concat(p.tables[kinds], w.was)
+		slices.Sort(tables)
+		x.use(p, kinds, slices.Compact(tables)...)
 	}
-	x.users[table][p] = struct{}{}
 }
 
 // take gives a call, or tells when to look again if orders wait for something.
@@ -494,6 +515,7 @@
 		if b, ok := w.order.(assign.Bind); ok {
 			x.bound[b.Proxy] = now
 			if p := x.joined[b.Proxy]; p != nil {
+				w.was = p.tables[positions(b.Kinds)]
 				x.use(p, positions(b.Kinds), b.Table)
 			}
 		}
@@ -547,6 +569,9 @@
 	if from > len(c.entries) { // it was the mark that was not taken
 		c.marks, c.every = nil, false
 	}
+	for _, w := range c.entries[min(max(from-1, 0), len(c.entries)):] { // the one before may be what was not taken
+		x.unsettle(w)
+	}
 	for _, w := range c.entries[min(from, len(c.entries)):] {
 		if b, ok := w.order.(assign.Bind); ok && w.life != x.lives[b.Proxy] {
 			continue // its stream is not the one that this was decided for
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -124,3 +124,44 @@
 		t.Error(err)
 	}
 }
+
+// A binding that was not carried out, or may not have been, leaves its proxy on the table it had: orders for that still
+// count as messages to it.
+func TestBindingNotCarriedOut(t *testing.T) {
+	for name, back := range map[string]func(*Exchange, Call){
+		"in doubt":  func(x *Exchange, c Call) { x.Return(c, 0, true) },
+		"not taken": func(x *Exchange, c Call) { x.Return(c, 0, false) },
+		"given up":  func(x *Exchange, c Call) { x.Return(c, 1, false) },
+		"not got so far": func(x *Exchange, c Call) {
+			c.entries = append([]*entry{{order: assign.Clear{Table: 9}}}, c.entries...)
+			x.Return(c, 1, false)
+		},
+	} {
+		x := small(2)
+		x.Told([]assign.Event{assign.Joined{Proxy: 1, Zone: "a"}})
+		call := func(o assign.Order) Call {
+			x.Order([]assign.Order{o})
+			c, _, _ := x.take()
+			return c
+		}
+		call(assign.Bind{Proxy: 1, Table: 1})
+		x.joined[1].wrote = 0
+		back(x, call(assign.Bind{Proxy: 1, Table: 2}))
+		x.until, x.joined[1].wrote = time.Time{}, 0
+		x.forget(func(*entry) bool { return true })
+		for i := range 4 {
+			table := 1 + i%2 // it may use either
+			c := call(assign.SetLine{Table: table, Task: "t", Weight: float64(i + 1)})
+			if held := i >= 2; held != (len(c.Orders) == 0) {
+				t.Errorf("%s: order %d for table %d, of two messages: call %v", name, i, table, c.Orders)
+			}
+			x.forget(func(*entry) bool { return true })
+		}
+		x.joined[1].wrote = 0
+		call(assign.Bind{Proxy: 1, Table: 2})
+		x.joined[1].wrote = 2
+		if c := call(assign.SetLine{Table: 1, Task: "t", Weight: 9}); len(c.Orders) == 0 {
+			t.Errorf("%s: it uses table 2 alone, and orders for table 1 are held", name)
+		}
+	}
+}
