Settings: a figure below 0 or beyond all use counts as missing

Ruled out: panics (none), other orders. settings.flatten and kinds took any figure; now one below 0 or above 1e15 counts as missing, for both hosts alike.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,11 +2,7 @@
 // names and units that package assign reads.
 package settings
 
-import (
-	"math"
-
-	"madderhollow/assign"
-)
+import "madderhollow/assign"
 
 // names gives the house's name for a wire setting; "s" marks milliseconds that become seconds.
 var names = map[string][2]string{
@@ -71,6 +67,10 @@
 	return x
 }
 
+// largest bounds a setting's figure. One above it, or below 0, means nothing: it counts as missing, lest the module order
+// what no relay takes.
+const largest = 1e15
+
 // Translate flattens the wire's object into the plain map that package assign reads. Names not in
 // the table keep their dotted path and value.
 func Translate(obj map[string]any) assign.Settings {
@@ -112,7 +112,7 @@
 		}
 		switch x := v.(type) {
 		case float64:
-			if !math.IsNaN(x) && !math.IsInf(x, 0) {
+			if x >= 0 && x <= largest {
 				s[name] = x * scale
 			}
 		case []any:
@@ -152,7 +152,12 @@
 func kinds(s assign.Settings, list []any) {
 	n := len(list)
 	text := func(o map[string]any, k string) string { v, _ := o[k].(string); return v }
-	num := func(o map[string]any, k string) float64 { v, _ := o[k].(float64); return v }
+	num := func(o map[string]any, k string) float64 {
+		if v, _ := o[k].(float64); v >= 0 && v <= largest {
+			return v
+		}
+		return 0
+	}
 	name, repeat, group := make([]string, n), make([]string, n), make([]string, n)
 	value, target, timeout := make([]float64, n), make([]float64, n), make([]float64, n)
 	window, late, zones := make([]float64, n), make([]float64, n), make([][]string, n)
