Module: tries at draining tasks count for what was told of

Change: all tries count for how much was told of; the total stays what the ready tasks answer well.

The test's second case fails without the change.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -926,7 +926,7 @@
 // was told of: a fresh assigner knows few. While tasks are idle on the whole, late and failed answers come of
 // uneven lines, connections or errors: letting in less mends none, but leaves fewer to set a total by.
 func (s *split) measure(a *Assigner, use float64) (over bool) {
-	heard, bad, done, all := 0, 0, 0.0, sums{tries: 1e-9}
+	heard, bad, done, told, all := 0, 0, 0.0, 0.0, sums{tries: 1e-9}
 	fails, views, busy, size := 0.0, 1e-9, 1e-9, 1e-9
 	for _, t := range a.fleet {
 		seen, ill := 0, 0
@@ -939,7 +939,7 @@
 			}
 		}
 		heard, bad, done = heard+seen, bad+ill, done+t.done.tries-t.done.failed
-		if t.state == Ready {
+		if told += t.done.tries; t.state == Ready {
 			all.add(t.done, 1)
 		}
 		if t.state == Ready && t.busy > 0 && a.now-t.answered <= cutEvery { // older reports are of a jam gone by
@@ -947,7 +947,7 @@
 		}
 	}
 	full := busy > hotFrom*size || a.busyAt < 0
-	s.fails, over = fails/views, full && 2*bad > heard && 2*all.tries > math.Min(use, cmp.Or(s.total, use))
+	s.fails, over = fails/views, full && 2*bad > heard && 2*told > math.Min(use, cmp.Or(s.total, use))
 	switch lost := all.failed / all.tries; { // quick answers of idle tasks beside failures: scarce connections
 	case a.now < s.next:
 	case lost > failing && 2*all.well > (1+lateWell)*(all.tries-all.failed) && !full:
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -636,32 +636,42 @@
 }
 
 // Where a fleet is large for what one assigner's proxies bring, a task is judged only every few seconds; an overload is
-// called from all that was told, not from the tasks just judged, and its total is the rate answered well.
+// called from all that was told, also of tasks that drain, not from the tasks just judged, and its total is the rate
+// that the ready ones answer well.
 func TestOverloadOfALargeFleetIsCalledInTime(t *testing.T) {
-	a := New(1, Settings{"proxies": 11.0, "kind.name": []string{"read"}, "kind.target": []float64{1}, "load.columns": []string{"busy"}})
-	events := []Event{Listed{Whole: true, Entries: entries("t", 48)}}
-	for i := range 11 {
-		events = append(events, Joined{Proxy: i, Zone: "x", Rate: 4, Fresh: true})
-	}
-	late := 24
-	for s := range late + 4 {
-		m := Met{Zone: "x", Span: 8, Mean: 0.1, Tries: 8, Load: []float64{0.5}}
-		if s >= late {
-			m.Mean, m.Load = 2, []float64{0.95}
-		}
-		for i := s % 8; i < 48; i += 8 { // each is told of every eight seconds
-			m.Task = fmt.Sprint("t", i)
-			events = append(events, m)
-		}
+	for _, draining := range []int{0, 32} {
+		a := New(1, Settings{"proxies": 11.0, "kind.name": []string{"read"}, "kind.target": []float64{1}, "load.columns": []string{"busy"}})
+		list := entries("t", 48)
+		events := []Event{Listed{Whole: true, Entries: list}}
 		for i := range 11 {
-			events = append(events, Used{Proxy: i, Kind: "read", Span: 1, Reqs: 4})
+			events = append(events, Joined{Proxy: i, Zone: "x", Rate: 4, Fresh: true})
 		}
-		a.Handle(1000+float64(s), events)
-		if events = nil; s < late && a.split.total > 0 {
-			t.Fatalf("at %d s a total is set while all is well", s)
+		late := 24
+		for s := range late + 4 {
+			m := Met{Zone: "x", Span: 8, Mean: 0.1, Tries: 8, Load: []float64{0.5}}
+			if s >= late {
+				m.Mean, m.Load = 2, []float64{0.95}
+			}
+			for i := s % 8; i < 48; i += 8 { // each is told of every eight seconds
+				m.Task = fmt.Sprint("t", i)
+				events = append(events, m)
+			}
+			for i := range 11 {
+				events = append(events, Used{Proxy: i, Kind: "read", Span: 1, Reqs: 4})
+			}
+			if s == late {
+				for i := range list[:draining] {
+					list[i].State = Draining
+				}
+				events = append(events, Listed{Entries: list[:draining]})
+			}
+			a.Handle(1000+float64(s), events)
+			if events = nil; s < late && a.split.total > 0 {
+				t.Fatalf("%d drain: at %d s a total is set while all is well", draining, s)
+			}
+		}
+		if x, ready := a.split.total, float64(48-draining); x < ready/2 || x > ready {
+			t.Errorf("%d drain: after 4 s of late answers the total is %g of 44/s", draining, x)
 		}
-	}
-	if x := a.split.total; x < 20 || x > 50 {
-		t.Errorf("after 4 s of late answers the total is %g of 44/s", x)
 	}
 }
