--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -284,19 +284,26 @@
 			t.Fatalf("of %d lines %d bytes are held", i+1, s.held.Load())
 		}
 	}
-	for i, c := range all {
-		if err := c.Write("\"}\n" + fmt.Sprintf(usage, i%8, 100+i, "") + "\n"); err != nil {
-			t.Fatal(err)
-		}
-	}
 	lines, behind := 0, 0
-	for lines+behind < fit+len(all) {
-		if u := next(t, got).(assign.Used); u.Reqs == 1 {
-			lines++
-		} else {
-			behind++
+	finish := func(some []*standin.Collector, events int) {
+		for i, c := range some {
+			if err := c.Write("\"}\n" + fmt.Sprintf(usage, i%8, 100+i, "") + "\n"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for range events {
+			if u := next(t, got).(assign.Used); u.Reqs == 1 {
+				lines++
+			} else {
+				behind++
+			}
 		}
 	}
+	finish(all[fit:], len(all)-fit) // while the others are under way still: these have no room
+	if lines > 0 {
+		t.Errorf("%d long lines came that had no room", lines)
+	}
+	finish(all[:fit], 2*fit)
 	if !standin.Until(soon, func() bool { return s.held.Load() == 0 }) {
 		t.Errorf("%d bytes are held", s.held.Load())
 	}
