Urgent orders take turns; reports of a large fleet count however long their span

Four of five assigners are killed, 2,400 proxies come to one while a release goes on; its channel carries 4,500 lines a second, what is urgent needs more for ten seconds. desk.take sorts urgent orders first and then by number: each wave of drains made the bound proxies urgent again, and the highest numbers (2246, 2222, 2020) never had a turn. In the same logs all collectors were closed each second from 27 s on: at 120 lines a second a report tells of 24 s, and wire took any span above ten times the pace of reports for spoilt.

Change: among the equally urgent, whoever was written to last waits; the bound on a report's span follows the fleet, the kinds and the cap of the settings.

Measured: both tests fail without their change.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -534,6 +534,14 @@
 	return sum
 }
 
+// written tells when the last message went to it.
+func (p *proxy) written() float64 {
+	if len(p.wrote) == 0 {
+		return 0
+	}
+	return p.wrote[len(p.wrote)-1]
+}
+
 func (p *proxy) take(a *Assigner, n note) {
 	switch n := n.(type) {
 	case Joined:
@@ -1014,7 +1022,9 @@
 			}
 		}
 	}
-	slices.SortStableFunc(jobs, func(x, y job) int { return cmp.Compare(y.part, x.part) })
+	slices.SortStableFunc(jobs, func(x, y job) int { // whoever was written to last waits, lest any starve
+		return cmp.Or(cmp.Compare(y.part, x.part), cmp.Compare(x.p.written(), y.p.written()))
+	})
 	d.due = nil
 	mark := (d.mark + 1) % 65536
 	for _, j := range jobs {
@@ -1039,6 +1049,6 @@
 func (d *desk) mayWrite(a *Assigner, p *proxy, urgent bool) bool {
 	i, _ := slices.BinarySearch(p.wrote, a.now-d.span)
 	n, free := len(p.wrote)-i, d.most == 0
-	late := n > 0 && a.now-p.wrote[len(p.wrote)-1] < period/2
+	late := n > 0 && a.now-p.written() < period/2
 	return urgent && (free || n < d.most-1) || !late && (free || n < d.most*2/3)
 }
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -675,3 +675,44 @@
 		}
 	}
 }
+
+// While the channel carries less than what is urgent, everyone gets a turn: a release that goes on must not let the
+// proxies with the lowest numbers have all of it, and the last ones keep tables with tasks long gone.
+func TestUrgentOrdersTakeTurns(t *testing.T) {
+	cfg := settings()
+	cfg["proxies"], cfg["channel.limit"], cfg["messages.limit"] = 20.0, 60.0, 0.0
+	a := New(1, cfg)
+	list := entries("t", 200)
+	events := []Event{Listed{Whole: true, Entries: list}}
+	for i := range 20 { // they hold what nobody knows
+		events = append(events, Joined{Proxy: i, Zone: "x", Rate: 10})
+	}
+	now := 1000.0
+	for step := range 30 { // a call carries two tables; each step five tasks drain, and every table has lines to lose
+		wrote, mark := map[int]bool{}, 0
+		for _, o := range a.Handle(now, events) {
+			switch o := o.(type) {
+			case SetLine:
+				wrote[o.Table/len(a.groups)] = true
+			case Mark:
+				mark = o.Mark
+			}
+		}
+		events = nil
+		for p := range 20 {
+			if wrote[p] {
+				events = append(events, Applied{Proxy: p, Mark: mark})
+			}
+		}
+		for i := range list[step*5 : step*5+5] {
+			list[step*5+i].State = Draining
+		}
+		events = append(events, Listed{Entries: list[step*5 : step*5+5]})
+		now += 0.2
+	}
+	for i := range 20 {
+		if !a.proxy(i).own {
+			t.Errorf("proxy %d has never got a table", i)
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -62,6 +62,10 @@
 		c.longestAnswer = stretch * slices.Max(l) * 1000
 	}
 	if s, ok := cfg["reports.every"].(float64); ok && s > 0 {
+		// Lines a second are capped: those of a large fleet take their turns, and each then tells of the time since its last.
+		if limit, ok := cfg["reports.limit"].(float64); ok && limit > 0 {
+			s = max(s, float64(c.proxies*len(c.kinds))/limit)
+		}
 		c.longestSpan = stretch * s * 1000
 	}
 	return c
--- a/internal/wire/zones_test.go
+++ b/internal/wire/zones_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -30,3 +31,19 @@
 		t.Error(err)
 	}
 }
+
+// Where reports are capped, a line of a large fleet tells of many times the pace of reports, and must count: refused, it
+// cost every collector its connection, and the module heard nothing more.
+func TestReportsOfALargeFleetTakeTurns(t *testing.T) {
+	for _, c := range []struct {
+		limit    float64
+		interval int
+		usable   bool
+	}{{120, 24386, true}, {120, 60000, true}, {120, 700000, false}, {0, 24386, false}, {50000, 24386, false}} {
+		codec := NewCodec(assign.Settings{"kind.name": []string{"a", "b", "c"}, "proxies": 2400.0, "reports.every": 1.0, "reports.limit": c.limit}, time.Now())
+		line := fmt.Sprintf(`{"@type":"usage","node":7,"route":"b","total":30,"errors":0,"interval":%d}`, c.interval)
+		if _, err := codec.Line([]byte(line)); (err == nil) != c.usable {
+			t.Errorf("%g lines a second, an interval of %d ms: %v", c.limit, c.interval, err)
+		}
+	}
+}
