--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -689,21 +689,7 @@
 	}
 	now := 1000.0
 	for step := range 30 { // a call carries two tables; each step five tasks drain, and every table has lines to lose
-		wrote, mark := map[int]bool{}, 0
-		for _, o := range a.Handle(now, events) {
-			switch o := o.(type) {
-			case SetLine:
-				wrote[o.Table/len(a.groups)] = true
-			case Mark:
-				mark = o.Mark
-			}
-		}
-		events = nil
-		for p := range 20 {
-			if wrote[p] {
-				events = append(events, Applied{Proxy: p, Mark: mark})
-			}
-		}
+		events = receipts(a, a.Handle(now, events))
 		for i := range list[step*5 : step*5+5] {
 			list[step*5+i].State = Draining
 		}
--- a/assign/bench_test.go
+++ b/assign/bench_test.go
@@ -23,20 +23,7 @@
 	now := 1000.0
 	turn = func(dt float64, more ...Event) {
 		now += dt
-		wrote, mark := map[int]bool{}, -1
-		for _, o := range a.Handle(now, more) {
-			switch o := o.(type) {
-			case SetLine:
-				wrote[o.Table/len(a.groups)] = true
-			case Mark:
-				mark = o.Mark
-			}
-		}
-		events = events[:0]
-		for p := range wrote {
-			events = append(events, Applied{Proxy: p, Mark: mark})
-		}
-		a.Handle(now, events)
+		a.Handle(now, receipts(a, a.Handle(now, more)))
 	}
 	turn(0, events...)
 	for range 200 {
--- a/assign/helper_test.go
+++ b/assign/helper_test.go
@@ -354,3 +354,22 @@
 	}
 	return l
 }
+
+// receipts are those of the proxies that a turn's orders for own tables reach, by number.
+func receipts(a *Assigner, orders []Order) (l []Event) {
+	var wrote []int
+	mark := 0
+	for _, o := range orders {
+		switch o := o.(type) {
+		case SetLine:
+			wrote = append(wrote, o.Table/len(a.groups))
+		case Mark:
+			mark = o.Mark
+		}
+	}
+	slices.Sort(wrote)
+	for _, p := range slices.Compact(wrote) {
+		l = append(l, Applied{Proxy: p, Mark: mark})
+	}
+	return l
+}
