--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -12,8 +12,12 @@
 
 // roughDay plays joins, leaves, restarts, drains, stale lists, lists that lose tasks or hold strangers, stalled
 // proxies, capped and lost reports and overload in any mix, with few proxies or many.
-func roughDay(seed int64) *world {
+func roughDay(seed int64) *world { return roughDayWith(seed, func(Settings) {}) }
+
+// roughDayWith is roughDay with other settings.
+func roughDayWith(seed int64, change func(Settings)) *world {
 	w := newWorld(seed)
+	change(w.cfg)
 	w.cfg["gone.open"] = seed%2 == 0
 	for i := 8; seed%5 == 0 && i < 30; i++ {
 		w.prox = append(w.prox, newEdge(i))
--- a/assign/bench_test.go
+++ b/assign/bench_test.go
@@ -7,7 +7,7 @@
 
 // fleet is an assigner at which so many proxies are joined that hold what nobody knows, so that each gets tables of its
 // own, and a clock that hands over reports of every task and answers every mark.
-func fleet(b *testing.B, proxies, tasks int) (a *Assigner, turn func(dt float64, more ...Event)) {
+func fleet(b testing.TB, proxies, tasks int) (a *Assigner, turn func(dt float64, more ...Event)) {
 	b.Helper()
 	cfg := settings()
 	cfg["proxies"], cfg["channel.limit"] = float64(proxies), 30000.0
@@ -40,20 +40,26 @@
 			i := 0
 			for b.Loop() {
 				for range 10 {
-					var events []Event
-					for t := range 40 {
-						events = append(events, Met{Zone: string("xyz"[t%3]), Task: fmt.Sprint("t", (i*40+t)%200), Span: 1, Mean: 0.2, Tries: 20,
-							Load: []float64{0.5}})
-					}
-					for p := range n / 10 {
-						events = append(events, Used{Proxy: (i*n/10 + p) % n, Kind: "read", Span: 1, Reqs: 10})
-					}
-					out := Entry{Zone: string("xyz"[i%200%3]), Task: fmt.Sprint("t", i%200), Size: 1, State: Draining}
-					in := Entry{Zone: string("xyz"[(i+100)%200%3]), Task: fmt.Sprint("t", (i+100)%200), Size: 1, State: Ready}
-					turn(0.1, append(events, Listed{Entries: []Entry{out, in}})...)
+					turn(0.1, releaseEvents(i, n)...)
 					i++
 				}
 			}
 		})
 	}
 }
+
+// releaseEvents are those of one turn of a release at so many proxies and 200 tasks: reports, a task that drains and one
+// that starts.
+func releaseEvents(i, proxies int) []Event {
+	var events []Event
+	for t := range 40 {
+		events = append(events, Met{Zone: string("xyz"[t%3]), Task: fmt.Sprint("t", (i*40+t)%200), Span: 1, Mean: 0.2, Tries: 20,
+			Load: []float64{0.5}})
+	}
+	for p := range proxies / 10 {
+		events = append(events, Used{Proxy: (i*proxies/10 + p) % proxies, Kind: "read", Span: 1, Reqs: 10})
+	}
+	out := Entry{Zone: string("xyz"[i%200%3]), Task: fmt.Sprint("t", i%200), Size: 1, State: Draining}
+	in := Entry{Zone: string("xyz"[(i+100)%200%3]), Task: fmt.Sprint("t", (i+100)%200), Size: 1, State: Ready}
+	return append(events, Listed{Entries: []Entry{out, in}})
+}
--- a/assign/helper_test.go
+++ b/assign/helper_test.go
@@ -1,7 +1,9 @@
 package assign
 
 import (
+	"crypto/sha256"
 	"fmt"
+	"hash"
 	"math"
 	"math/rand"
 	"slices"
@@ -10,20 +12,21 @@
 // world is a tiny model of proxies, their tables and the channel: enough to check the rules that
 // orders alone decide. It carries no load.
 type world struct {
-	rng   *rand.Rand
-	cfg   Settings
-	a     *Assigner
-	now   float64
-	pace  float64 // the channel's true pace
-	free  float64 // when the channel is next idle
-	tasks []*fact
-	prox  []*edge
-	rings []float64
-	fly   []message
-	done  []Event // answers for the next batch
-	told  map[string]float64
-	log   []string // every order, to compare two runs
-	bad   string
+	rng    *rand.Rand
+	cfg    Settings
+	a      *Assigner
+	now    float64
+	pace   float64 // the channel's true pace
+	free   float64 // when the channel is next idle
+	tasks  []*fact
+	prox   []*edge
+	rings  []float64
+	fly    []message
+	done   []Event // answers for the next batch
+	told   map[string]float64
+	log    []string  // every order, to compare two runs
+	digest hash.Hash // of every order, to compare with an earlier build
+	bad    string
 }
 
 type fact struct {
@@ -66,7 +69,7 @@
 }
 
 func newWorld(seed int64) *world {
-	w := &world{rng: rand.New(rand.NewSource(seed)), cfg: settings(), now: 1000, told: map[string]float64{}}
+	w := &world{rng: rand.New(rand.NewSource(seed)), cfg: settings(), now: 1000, told: map[string]float64{}, digest: sha256.New()}
 	w.pace = 1000 * (0.4 + 0.6*w.rng.Float64())
 	for i := 0; i < 15; i++ {
 		w.tasks = append(w.tasks, &fact{Entry: Entry{Zone: string("xyz"[i%3]), Task: fmt.Sprint("t", i), Size: 1 + float64(i%2)}})
@@ -147,6 +150,7 @@
 		}
 	}
 	out := w.a.Handle(w.now, events)
+	digestOrders(w.digest, w.now, out)
 	per, mark := map[int][]Order{}, 0
 	for _, o := range out {
 		w.log = append(w.log, fmt.Sprintf("%.3f %T%+v", w.now, o, o))
--- /dev/null
+++ b/internal/wire/bytes_test.go
@@ -0,0 +1,61 @@
+package wire
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"madderhollow/assign"
+)
+
+var update = flag.Bool("update", false, "write testdata anew instead of comparing with it")
+
+// relayOrders has every order that goes to the relay, with figures of every size.
+func relayOrders() []assign.Order {
+	var orders []assign.Order
+	for _, table := range []int{0, 4, 65534} {
+		orders = append(orders, assign.Clear{Table: table})
+		for _, weight := range []float64{0, 0.1, 1, 1.5, 1.0 / 3, 1e-9, 1234567.875, 1e9} {
+			orders = append(orders, assign.SetLine{Table: table, Task: "s-5:x", Weight: weight})
+		}
+		for _, kinds := range [][]int{nil, {0}, {1}, {0, 1}} {
+			orders = append(orders, assign.Bind{Proxy: 5, Table: table, Kinds: kinds},
+				assign.SetLevel{Table: table, Kinds: kinds, Amount: 0.9, Resend: 1},
+				assign.SetLevel{Table: assign.EveryProxy, Kinds: kinds, Amount: 1e9})
+		}
+		orders = append(orders, assign.Withdraw{Task: "s", Out: true}, assign.Withdraw{Task: "s"},
+			assign.Mark{Mark: table}, assign.Mark{Mark: table, Everyone: true})
+	}
+	return orders
+}
+
+// TestRelayBytes compares what goes to the relay, order by order and as one call, with the bytes of an earlier build.
+func TestRelayBytes(t *testing.T) {
+	var got bytes.Buffer
+	var texts []string
+	for _, order := range relayOrders() {
+		text, err := codec.Order(order)
+		if err != nil {
+			t.Fatalf("%#v: %v", order, err)
+		}
+		texts = append(texts, text)
+		fmt.Fprintln(&got, text)
+	}
+	fmt.Fprintf(&got, "%s\n%s%s", Call(texts), Pong, Refused)
+	path := filepath.Join("testdata", "relay_bytes.txt")
+	if *update {
+		if err := os.WriteFile(path, got.Bytes(), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got.Bytes(), want) {
+		t.Errorf("the bytes have changed: got\n%s\nwant\n%s", got.Bytes(), want)
+	}
+}
