--- a/assign/digest_test.go
+++ b/assign/digest_test.go
@@ -4,16 +4,13 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
-	"flag"
 	"fmt"
 	"hash"
 	"math"
-	"os"
-	"path/filepath"
 	"testing"
-)
 
-var update = flag.Bool("update", false, "write testdata anew instead of comparing with it")
+	"madderhollow/internal/golden"
+)
 
 // digestOrders adds the orders of one batch to a digest. It writes numbers for the order types and leaves out the names
 // of types and members and the texts of log lines, so that renaming changes no digest and any other change does.
@@ -44,94 +41,84 @@
 	}
 }
 
-// zonesDay reports busy tasks in one zone, quick failures at idle tasks, and then idle tasks that answer.
-func zonesDay(t *testing.T) *world {
-	w := calm(t)
+// playZonesDay reports busy endpoints in one zone, quick failures at idle endpoints, and then idle ones that answer.
+func playZonesDay(t *testing.T) *model {
+	t.Helper()
+	m := calmModel(t)
 	phases := []struct {
-		busyNear, busyFar float64
-		failed            int
+		busyLocal, busyRemote float64
+		failed                int
 	}{{0.95, 0.3, 0}, {0.6, 0.3, 0}, {0.3, 0.3, 6}, {0.3, 0.3, 0}}
 	for _, phase := range phases {
 		for range 15 {
-			for _, k := range w.tasks {
-				busy := phase.busyFar
-				if k.Zone == "x" {
-					busy = phase.busyNear
+			for _, e := range m.endpoints {
+				busy := phase.busyRemote
+				if e.Zone == "x" {
+					busy = phase.busyLocal
 				}
-				w.step(0, EndpointLoadReport{Zone: k.Zone, Endpoint: k.Name, Interval: 1, MeanLatency: 0.1, Attempts: 9, Failed: phase.failed, Load: []float64{busy}})
+				m.step(0, EndpointLoadReport{Zone: e.Zone, Endpoint: e.Name, Interval: 1, MeanLatency: 0.1, Attempts: 9,
+					Failed: phase.failed, Load: []float64{busy}})
 			}
-			w.step(0.8)
+			m.step(0.8)
 		}
 	}
-	return w
+	return m
+}
+
+// playOverloadDay brings a wide overload and its end.
+func playOverloadDay(t *testing.T) *model {
+	t.Helper()
+	m := calmModel(t)
+	m.run(12, 2.5)
+	m.run(40, 0.3)
+	return m
 }
 
-// overloadDay brings a wide overload and its end.
-func overloadDay(t *testing.T) *world {
-	w := calm(t)
-	w.pass(12, 2.5)
-	w.pass(40, 0.3)
-	return w
+// playReleaseDay digests six seconds of a release in a large fleet.
+func playReleaseDay(t *testing.T) hash.Hash {
+	t.Helper()
+	digest := sha256.New()
+	a, batch := releaseModel(t, 240, 200)
+	for step := range 60 {
+		now := a.now + 0.1
+		digestOrders(digest, now, a.Handle(now, releaseEvents(step, 240)))
+		batch(0.1)
+	}
+	return digest
 }
 
-// TestOrdersMatchDigests replays seeded days of the test model and compares a digest of all their orders with the one
-// recorded in testdata. A change that is meant to keep every decision keeps every digest.
+// TestOrdersMatchDigests replays seeded days of the model and compares a digest of all their orders with the one recorded
+// in testdata. A change that is meant to keep every decision keeps every digest.
 func TestOrdersMatchDigests(t *testing.T) {
+	t.Parallel()
 	var got bytes.Buffer
 	record := func(name string, h hash.Hash) {
 		fmt.Fprintf(&got, "%s %s\n", name, hex.EncodeToString(h.Sum(nil)))
 	}
 	for seed := range int64(40) {
-		record(fmt.Sprint("rough-", seed), roughDay(seed).digest)
+		record(fmt.Sprint("rough-", seed), playRoughDay(seed).digest)
 	}
 	for _, variant := range []struct {
 		name   string
-		change func(Settings)
+		change func(*Config)
 	}{
-		{"ratio", func(cfg Settings) { cfg["admission"] = "ratio" }},
-		{"off", func(cfg Settings) { cfg["admission"] = "off" }},
-		{"asked", func(cfg Settings) { cfg["list.mode"] = "on_request" }},
-		{"no-load", func(cfg Settings) { delete(cfg, "load.columns") }},
-		{"own-zone", func(cfg Settings) { cfg["kind.ownZone"] = []bool{true, false, false} }},
-		{"few-settings", func(cfg Settings) {
-			for _, name := range []string{"cold.share", "cold.time", "fall.time", "fall.multiple", "message.lines", "resend.usual"} {
-				delete(cfg, name)
-			}
+		{"ratio", func(config *Config) { config.Admission = AdmitByRatio }},
+		{"off", func(config *Config) { config.Admission = AdmissionIgnored }},
+		{"asked", func(config *Config) { config.ListMode = ListOnRequest }},
+		{"no-load", func(config *Config) { config.Reports.LoadMetrics = nil }},
+		{"own-zone", func(config *Config) { config.RequestClasses[0].OwnZoneOnly = true }},
+		{"few-settings", func(config *Config) {
+			config.WarmUp = DefaultConfig().WarmUp
+			config.Channel.MessageOverhead = DefaultConfig().Channel.MessageOverhead
+			config.Retries = 0
 		}},
 	} {
 		for seed := range int64(5) {
-			record(fmt.Sprintf("%s-%d", variant.name, seed), roughDayWith(seed, variant.change).digest)
-		}
-	}
-	record("zones", zonesDay(t).digest)
-	record("overload", overloadDay(t).digest)
-	release := sha256.New()
-	a, turn := fleet(t, 240, 200)
-	for i := range 60 {
-		events := releaseEvents(i, 240)
-		now := a.now + 0.1
-		digestOrders(release, now, a.Handle(now, events))
-		turn(0.1)
-	}
-	record("release", release)
-
-	path := filepath.Join("testdata", "order_digests.txt")
-	if *update {
-		if err := os.WriteFile(path, got.Bytes(), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	gotLines, wantLines := bytes.Split(got.Bytes(), []byte("\n")), bytes.Split(want, []byte("\n"))
-	if len(gotLines) != len(wantLines) {
-		t.Fatalf("%d days, testdata has %d", len(gotLines), len(wantLines))
-	}
-	for i := range gotLines {
-		if !bytes.Equal(gotLines[i], wantLines[i]) {
-			t.Errorf("the orders have changed: got %s, want %s", gotLines[i], wantLines[i])
+			record(fmt.Sprintf("%s-%d", variant.name, seed), playRoughDayWith(seed, variant.change).digest)
 		}
 	}
+	record("zones", playZonesDay(t).digest)
+	record("overload", playOverloadDay(t).digest)
+	record("release", playReleaseDay(t))
+	golden.Compare(t, "order_digests.txt", got.Bytes())
 }
--- /dev/null
+++ b/assign/model_rules_test.go
@@ -0,0 +1,139 @@
+package assign
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+// fail keeps the first broken rule.
+func (m *model) fail(format string, values ...any) {
+	if m.violation == "" {
+		m.violation = fmt.Sprintf("at %.2f s: ", m.now-modelStart) + fmt.Sprintf(format, values...)
+	}
+}
+
+// slowness is how much longer than stated the channel takes, the worst of what the rules allow for.
+func (m *model) slowness() float64 { return modelNominalRate / m.channelRate }
+
+// checkOrder checks what can be told of an order alone.
+func (m *model) checkOrder(order Order) {
+	switch o := order.(type) {
+	case SetWeight:
+		if o.Weight < 0 || math.IsNaN(o.Weight) {
+			m.fail("weight %v", o.Weight)
+		}
+	case SetRateLimit:
+		if class := m.config.RequestClasses[o.RequestClasses[0]]; o.Retries > 1 && class.RetrySafety != SafeToRetry {
+			m.fail("rule 2: %d retries of class %s", o.Retries, class.Name)
+		}
+	case AttachTable:
+		if !m.proxies[o.Proxy].connected {
+			m.fail("a table attached to %d, which is disconnected", o.Proxy)
+		}
+	}
+}
+
+// checkChannel checks rule 5: what waits in the channel, and the messages to each proxy.
+func (m *model) checkChannel() {
+	queued := 0
+	for _, message := range m.inTransit {
+		if message.sentAt > m.now {
+			queued += message.lines
+		}
+	}
+	if float64(queued) > m.config.Channel.QueueLimit {
+		m.fail("rule 5: %d lines wait", queued)
+	}
+	for _, p := range m.proxies {
+		p.messageTimes = slices.DeleteFunc(p.messageTimes, func(at float64) bool { return m.now-at > modelMessageWindow })
+		if len(p.messageTimes) > modelMessageLimit {
+			m.fail("rule 5: %d messages to proxy %d in 10 s", len(p.messageTimes), p.id)
+		}
+	}
+}
+
+// checkRules checks what the proxies hold, after some seconds of holding it.
+func (m *model) checkRules(seconds float64) {
+	sum := 0.0
+	for _, p := range m.assigner.proxies {
+		if m.now-p.lastReportAt <= silenceTimeout {
+			sum += p.quota
+		}
+	}
+	if sum > 1+1e-9 {
+		m.fail("quotas sum to %v", sum)
+	}
+	for _, p := range m.proxies {
+		if !p.connected || p.stalledUntil > m.now-1 {
+			continue
+		}
+		for class := range modelClasses {
+			held := m.held(p, class)
+			m.checkEntries(p, class, held)
+			m.checkPick(p, class, held, seconds)
+			m.checkWarming(p, class, held, seconds)
+		}
+	}
+}
+
+// checkEntries checks rule 3 and the zones that a class may use.
+func (m *model) checkEntries(p *modelProxy, class int, held map[string]float64) {
+	for _, e := range m.endpoints {
+		if held[e.Name] <= 0 {
+			continue
+		}
+		since, gone := m.goneSince[e.Name]
+		if gone && m.now-math.Max(since, p.connectedAt) > 2*m.slowness() {
+			m.fail("rule 3: proxy %d holds %s, gone for %.2f s", p.id, e.Name, m.now-since)
+		}
+		if !m.allows(class, e.Zone) {
+			m.fail("proxy %d sends class %d to zone %s", p.id, class, e.Zone)
+		}
+	}
+}
+
+// checkPick checks rule 1 where the assigner knows of an endpoint to pick.
+func (m *model) checkPick(p *modelProxy, class int, held map[string]float64, seconds float64) {
+	hasPick, couldHave := false, false
+	for _, e := range m.endpoints {
+		hasPick = hasPick || held[e.Name] > 0
+		record := m.assigner.endpoints[e.Name]
+		usable := record != nil && record.state == Ready && record.warmFraction(m.assigner) == 1
+		couldHave = couldHave || usable && m.allows(class, e.Zone)
+	}
+	p.withoutPick[class] += seconds
+	if hasPick || !couldHave {
+		p.withoutPick[class] = 0
+	}
+	if p.withoutPick[class] > 3*m.slowness() {
+		m.fail("rule 1: proxy %d has no endpoint to pick for class %d", p.id, class)
+	}
+}
+
+// checkWarming checks rule 4: a warming endpoint's part of a table against what a table of its zone would give it. What
+// tables should hold changes by the second: only an excess that lasts nearly the overload window counts.
+func (m *model) checkWarming(p *modelProxy, class int, held map[string]float64, seconds float64) {
+	sum, usual, warmLeft := 0.0, m.assigner.zone(p.zone).peakWeight, false
+	for _, e := range m.endpoints {
+		sum += held[e.Name]
+		warmLeft = warmLeft || held[e.Name] > 0 && m.now-e.StartedAt >= 10
+	}
+	excess := 0.0
+	for _, e := range m.endpoints {
+		record := m.assigner.endpoints[e.Name]
+		known := record != nil && record.startedAt > 0 && record.startedAt == e.StartedAt
+		if !warmLeft || !known || held[e.Name] <= 0 {
+			continue
+		}
+		fraction := record.warmFraction(m.assigner)
+		if fraction < 1 && held[e.Name]/sum > 1.6*fraction*e.Weight/usual {
+			excess = p.overBudget[class] + seconds
+		}
+	}
+	p.overBudget[class] = excess
+	allowed := 2.5 * m.slowness()
+	if excess > allowed && m.now-p.connectedAt > allowed {
+		m.fail("rule 4: proxy %d gives too much to warming endpoints: %v", p.id, held)
+	}
+}
--- /dev/null
+++ b/assign/orders.go
@@ -0,0 +1,83 @@
+package assign
+
+// AllProxies stands for the tables of all connected proxies in SetRateLimit.
+const AllProxies = 65535
+
+// Order is one of the order types of this package.
+type Order interface{ isOrder() }
+
+// SetWeight sets the weight of one entry of a table; 0 removes it.
+type SetWeight struct {
+	Table    int
+	Endpoint string
+	Weight   float64
+}
+
+// ClearTable removes all entries and rate limits of a table.
+type ClearTable struct{ Table int }
+
+// AttachTable makes a proxy use a table for some request classes, given by position; none stands for all.
+type AttachTable struct {
+	Proxy          int
+	Table          int
+	RequestClasses []int
+}
+
+// SetRateLimit sets how much of some request classes the users of a table let in.
+type SetRateLimit struct {
+	Table          int // or AllProxies
+	RequestClasses []int
+	Limit          float64 // requests per second, or a fraction under AdmitByRatio
+	Retries        int     // further attempts that proxies make
+}
+
+// EjectEndpoint takes an endpoint out of all tables of connected proxies, or lets it back in. The module never orders
+// it; both wires know it.
+type EjectEndpoint struct {
+	Endpoint string
+	Ejected  bool
+}
+
+// AcknowledgmentRequest asks the proxies that get a message of this batch to acknowledge it.
+type AcknowledgmentRequest struct {
+	Sequence   int  // 0 to 65535
+	AllProxies bool // also those that get no other order
+}
+
+// SetTimer asks for TimerFired with the same ID.
+type SetTimer struct {
+	Delay float64 // s
+	ID    int
+}
+
+// Log is a line for the operators' log.
+type Log struct{ Message string }
+
+// HealthCheck asks for a health check of an endpoint. The module never orders it; the simulator's wire knows it.
+type HealthCheck struct{ Endpoint string }
+
+// SendPeerMessage sends bytes to another assigner, by its number, or to all where To is -1. The module never orders it;
+// both wires know it.
+type SendPeerMessage struct {
+	To   int
+	Data []byte
+}
+
+// WatchEndpoints subscribes to endpoint updates, or ends the subscription.
+type WatchEndpoints struct{ Enabled bool }
+
+// FetchEndpoints asks once for the full endpoint list. The module never orders it; both wires know it.
+type FetchEndpoints struct{}
+
+func (SetWeight) isOrder()             {}
+func (ClearTable) isOrder()            {}
+func (AttachTable) isOrder()           {}
+func (SetRateLimit) isOrder()          {}
+func (EjectEndpoint) isOrder()         {}
+func (AcknowledgmentRequest) isOrder() {}
+func (SetTimer) isOrder()              {}
+func (Log) isOrder()                   {}
+func (HealthCheck) isOrder()           {}
+func (SendPeerMessage) isOrder()       {}
+func (WatchEndpoints) isOrder()        {}
+func (FetchEndpoints) isOrder()        {}
--- /dev/null
+++ b/assign/overload_test.go
@@ -0,0 +1,123 @@
+package assign
+
+import (
+	"fmt"
+	"testing"
+)
+
+// Answers that fail or come late while the endpoints are idle on the whole are no overload, however many, and what a few
+// endpoints answer is no total for all: set by the few good answers it would shrink with them, down to nothing.
+func TestIdleOrFewEndpointsSetNoTotal(t *testing.T) {
+	for _, c := range []struct {
+		endpoints, attempts, failed int
+		meanLatency, busy           float64
+		oldBusy                     float64 // reported of the others, long ago
+		want                        bool
+	}{
+		{endpoints: 15, attempts: 9, failed: 6, meanLatency: 0.1, busy: 0.4},
+		{endpoints: 15, attempts: 9, failed: 1, meanLatency: 2, busy: 0.4},
+		{endpoints: 15, attempts: 9, failed: 6, meanLatency: 0.9, busy: 0.95, want: true},
+		{endpoints: 3, attempts: 9, failed: 6, meanLatency: 0.9, busy: 0.95},
+		{endpoints: 4, attempts: 60, failed: 6, meanLatency: 0.9, busy: 0.5, oldBusy: 1},
+	} {
+		m := calmModel(t)
+		for _, e := range m.assigner.endpointList {
+			e.busy, e.lastAnsweredAt = c.oldBusy, m.now-5
+		}
+		for range 5 {
+			m.reportAll(c.endpoints, 0.8, EndpointLoadReport{MeanLatency: c.meanLatency, Attempts: c.attempts, Failed: c.failed, Load: []float64{c.busy}})
+		}
+		if got := m.assigner.split.total > 0; got != c.want {
+			t.Errorf("%+v: a total is set: %v", c, got)
+		}
+	}
+}
+
+// A total set in a jam is far too low: once endpoints answer well and stay idle, it must not take a tenth a second back.
+func TestTotalRecoversFromAJam(t *testing.T) {
+	m := calmModel(t)
+	m.assigner.split.total = 2
+	for range 4 {
+		m.reportAll(15, 1, EndpointLoadReport{MeanLatency: 0.1, Attempts: 2, Load: []float64{0.3}})
+	}
+	if total := m.assigner.split.total; total > 0 && total < 50 {
+		t.Errorf("endpoints three tenths busy with 30 requests a second get a total of %.1f", total)
+	}
+}
+
+// Where connections are scarce most attempts fail at idle endpoints and the rest are answered quickly: tables hold fewer
+// entries, and all again when the failures end.
+func TestScarceConnectionsMakeTablesNarrow(t *testing.T) {
+	m := calmModel(t)
+	sizeAfter := func(failed int) int {
+		for range 40 {
+			m.reportAll(15, 0.8, EndpointLoadReport{MeanLatency: 0.1, Attempts: 9, Failed: failed, Load: []float64{0.3}})
+		}
+		m.endpoints[0].StartedAt = m.now - 4 // warming: of two entries one is soon avoided, and all presses on the other
+		m.update(m.endpoints[0])
+		for _, e := range m.assigner.endpointList { // of this zone's proxies nothing is known yet
+			e.health = nil
+		}
+		m.zoneX()
+		table := m.signTable(0)
+		if has := entryWeight(table.entries, m.assigner.endpoints["t0"]) > 0; has != (failed == 0) {
+			t.Errorf("%d of 9 fail: a warming endpoint has an entry: %v", failed, has)
+		}
+		return len(table.entries)
+	}
+	if all, few, back := sizeAfter(0), sizeAfter(6), sizeAfter(0); few > all/2 || few < 2 || back != all {
+		t.Errorf("%d entries, %d while attempts fail, %d after", all, few, back)
+	}
+}
+
+// Where a fleet is large for what one assigner's proxies bring, an endpoint is assessed only every few seconds. An
+// overload is recognized from all reports, also of endpoints that drain, not from the endpoints just assessed, and its
+// total is the rate that the ready ones answer in time.
+func TestOverloadOfALargeFleetIsRecognizedInTime(t *testing.T) {
+	const lateFrom = 24 // s
+	for _, draining := range []int{0, 32} {
+		config := DefaultConfig()
+		config.ProxyCount = 11
+		config.RequestClasses = []RequestClassConfig{{Name: "read", LatencyObjective: 1}}
+		config.Reports.LoadMetrics = []LoadMetric{MetricBusy}
+		a := New(1, config)
+		listed := newEndpoints("t", 48)
+		events := []Event{EndpointUpdate{Full: true, Endpoints: listed}}
+		for i := range 11 {
+			events = append(events, ProxyConnected{Proxy: i, Zone: "x", TypicalRate: 4, Fresh: true})
+		}
+		for second := range lateFrom + 4 {
+			events = append(events, largeFleetReports(second, second >= lateFrom)...)
+			if second == lateFrom {
+				for i := range listed[:draining] {
+					listed[i].State = Draining
+				}
+				events = append(events, EndpointUpdate{Endpoints: listed[:draining]})
+			}
+			a.Handle(1000+float64(second), events)
+			events = nil
+			if second < lateFrom && a.split.total > 0 {
+				t.Fatalf("%d drain: at %d s a total is set while all is well", draining, second)
+			}
+		}
+		if total, ready := a.split.total, float64(48-draining); total < ready/2 || total > ready {
+			t.Errorf("%d drain: after 4 s of late answers the total is %g of 44/s", draining, total)
+		}
+	}
+}
+
+// largeFleetReports are those of one second on 48 endpoints, each reported every eight seconds, and 11 proxies.
+func largeFleetReports(second int, late bool) (events []Event) {
+	report := EndpointLoadReport{Zone: "x", Interval: 8, MeanLatency: 0.1, Attempts: 8, Load: []float64{0.5}}
+	if late {
+		report.MeanLatency, report.Load = 2, []float64{0.95}
+	}
+	for i := second % 8; i < 48; i += 8 {
+		report.Endpoint = fmt.Sprint("t", i)
+		events = append(events, report)
+	}
+	for i := range 11 {
+		events = append(events, ProxyTrafficReport{Proxy: i, RequestClass: "read", Interval: 1, Requests: 4})
+	}
+	return events
+}
--- /dev/null
+++ b/assign/proxies_test.go
@@ -0,0 +1,129 @@
+package assign
+
+import (
+	"math"
+	"testing"
+)
+
+// calmModel is a model in which all proxies have connected with their default tables only and all is well.
+func calmModel(t *testing.T) *model {
+	t.Helper()
+	m := newModel(1)
+	m.start()
+	for _, p := range m.proxies {
+		m.connect(p)
+		m.step(0.05)
+	}
+	m.run(10, 0.4)
+	if m.violation != "" {
+		t.Fatal(m.violation)
+	}
+	return m
+}
+
+func TestDefaultTablesStayWhileAllIsWell(t *testing.T) {
+	m := calmModel(t)
+	for _, p := range m.proxies {
+		if p.zone != "z" && m.record(p.id).hasAssignedTables {
+			t.Errorf("proxy %d left its default table", p.id)
+		}
+	}
+}
+
+// A class that is closed in a zone has its default table elsewhere; a drain there must reach it.
+func TestDrainReachesRemoteDefaultTables(t *testing.T) {
+	m := calmModel(t)
+	m.endpoints[0].State = Draining // in x; proxies of z send "sign" to x or y
+	m.update(m.endpoints[0])
+	if m.idle(3); m.violation != "" {
+		t.Error(m.violation)
+	}
+}
+
+// A host that lost its stream of events tells of connected proxies anew, without ProxyDisconnected: the messages that
+// went to them still count.
+func TestProxiesConnectedAnewKeepTheirMessageCount(t *testing.T) {
+	a := New(1, modelConfig())
+	a.Handle(1000, []Event{EndpointUpdate{Full: true, Endpoints: newEndpoints("x", 12)}})
+	var messageTimes []float64
+	sequence := -1
+	for now := 1000.0; now < 1030; now += 0.2 {
+		events := []Event{Acknowledged{Proxy: 1, Sequence: sequence}, ProxyConnected{Proxy: 1, Zone: "x", TypicalRate: 5}}
+		for _, order := range a.Handle(now, events) {
+			if o, ok := order.(AcknowledgmentRequest); ok {
+				messageTimes, sequence = append(messageTimes, now), o.Sequence
+			}
+		}
+		for len(messageTimes) > 0 && messageTimes[0] < now-10 {
+			messageTimes = messageTimes[1:]
+		}
+		if len(messageTimes) == 0 || len(messageTimes) > 20 {
+			t.Fatalf("%d messages within 10 s", len(messageTimes))
+		}
+	}
+}
+
+// TestOddConfigurationsGiveLegalOrders hands over events of every type, and endpoints and proxies that nobody knows.
+func TestOddConfigurationsGiveLegalOrders(t *testing.T) {
+	for name, change := range map[string]func(*Config){
+		"nothing stated": func(*Config) {},
+		"zero":           func(c *Config) { *c = Config{} },
+		"shards":         func(c *Config) { c.Shards = 40 },
+		"ratio":          func(c *Config) { c.Admission = AdmitByRatio },
+		"ignored":        func(c *Config) { c.Admission = AdmissionIgnored },
+		"on request":     func(c *Config) { c.ListMode = ListOnRequest },
+	} {
+		config := DefaultConfig()
+		change(&config)
+		a := New(1, config)
+		a.Handle(1, []Event{
+			EndpointUpdate{Full: true, Endpoints: []Endpoint{{Name: "a", Zone: "q"}, {Name: "b", Weight: 2}}},
+			ProxyConnected{Proxy: 3}, ShardAssigned{3, true}, ShardEntry{3, "a", 1}, EndpointLoadReport{Endpoint: "none"},
+			ProxyTrafficReport{Proxy: 9}, ProxyDisconnected{8}, PeerMessageReceived{1, nil}, HealthCheckResult{},
+			ShardTrafficReport{}, Acknowledged{Proxy: 3, Sequence: 9}})
+		a.Handle(2, []Event{EndpointUpdate{Failed: true}, EndpointUpdate{Endpoints: []Endpoint{{Name: "a", State: Removed}}}})
+		for _, order := range a.Handle(9, []Event{TimerFired{1}}) {
+			if o, ok := order.(SetWeight); ok && o.Weight > 0 && o.Endpoint != "b" {
+				t.Errorf("%s: %+v", name, o)
+			}
+		}
+	}
+}
+
+// Beside warming endpoints a rate of one request in a second or two is mostly chance: a limit close to it would reject a
+// third of them.
+func TestLimitBesideWarmingEndpointsLeavesRoomForChance(t *testing.T) {
+	m := calmModel(t)
+	p := m.record(0)
+	p.rates = []float64{0.5, 0.5, 0.5}
+	p.typicalRate = 1.5
+	if orders := p.limitOrders(m.assigner, m.signGroup(), 0, 1); orders[0].Limit < 2 {
+		t.Errorf("the limit is %g/s", orders[0].Limit)
+	}
+}
+
+// After a restart a lost zone comes back endpoint by endpoint: the first must not be taken for the whole zone.
+func TestReturningZoneIsNotTakenForItsFirstEndpoint(t *testing.T) {
+	m := newModel(1)
+	for _, e := range m.endpoints {
+		if e.Zone == "x" {
+			e.State = Removed
+		}
+	}
+	m.start()
+	m.connect(m.proxies[0])
+	m.endpoints[0].State, m.endpoints[0].StartedAt = Ready, m.now
+	m.update(m.endpoints[0])
+	m.idle(4.5)
+	held, sum := m.held(m.proxies[0], 0), 0.0
+	for _, weight := range held {
+		sum += weight
+	}
+	if fraction := held["t0"] / sum; fraction == 0 || fraction > 0.1 {
+		t.Errorf("the first endpoint back takes %.2f of the table", fraction)
+	}
+	limits := m.record(0).classLimits
+	if limits == nil || limits[0] > 1.25*(10/3+2*math.Sqrt(10.0/3))+1 {
+		t.Errorf("limits %v: a burst could push it over before it is reported", limits)
+	}
+}
--- /dev/null
+++ b/assign/ratesplit_test.go
@@ -0,0 +1,70 @@
+package assign
+
+import (
+	"math"
+	"testing"
+)
+
+func TestWideOverloadSplitsATotal(t *testing.T) {
+	m := calmModel(t)
+	m.run(12, 2.5)
+	split := m.assigner.split
+	if split.total == 0 {
+		t.Fatal("no total under overload")
+	}
+	sum := 0.0
+	for _, p := range split.members(m.assigner) {
+		sum += p.quota
+		if math.Abs(p.rateLimit-p.quota*split.total) > 1e-9 {
+			t.Errorf("rate limit %v is not quota %v of the total", p.rateLimit, p.quota)
+		}
+	}
+	if math.Abs(sum-1) > 1e-9 {
+		t.Errorf("quotas sum to %v", sum)
+	}
+	limits := m.record(0).classLimits
+	if limits == nil || limits[0] >= limits[2] && limits[2] < unlimited {
+		t.Errorf("limits %v: the lowest priority is not rejected first", limits)
+	}
+	m.run(60, 0.3)
+	if split.total != 0 || m.record(0).classLimits[0] != unlimited {
+		t.Error("limits not removed after the overload")
+	}
+}
+
+func TestUnusedQuotaMovesInEqualPieces(t *testing.T) {
+	m := calmModel(t)
+	members := m.assigner.split.members(m.assigner)
+	m.assigner.split.total = 80
+	for i, p := range members {
+		p.quota, p.rates = 1/float64(len(members)), []float64{4, 0, 0}
+		if i < 2 {
+			p.rates[0] = 30
+		}
+	}
+	m.assigner.send(splitTick{})
+	m.assigner.drain()
+	if math.Abs(members[0].quota-members[1].quota) > 1e-9 || members[0].quota < 0.3 || members[5].quota > 0.08 {
+		t.Errorf("quotas %v, %v and %v", members[0].quota, members[1].quota, members[5].quota)
+	}
+}
+
+// Proxies that come in one batch get equal quotas, those that were there are scaled down to match, and the quotas stay a
+// whole.
+func TestProxiesComingAtOnceShareEqually(t *testing.T) {
+	m := newModel(1)
+	m.start()
+	connect := func(n int) (events []Event) {
+		for i := range n {
+			events = append(events, ProxyConnected{Proxy: i, Zone: zoneOf(i), TypicalRate: 10, Fresh: true})
+		}
+		return events
+	}
+	m.assigner.Handle(m.now, connect(2))
+	m.assigner.Handle(m.now, connect(8))
+	for i := range 8 {
+		if p := m.record(i); math.Abs(p.quota-1.0/8) > 1e-9 {
+			t.Errorf("proxy %d has a quota of %g", i, p.quota)
+		}
+	}
+}
--- /dev/null
+++ b/assign/roughday_test.go
@@ -0,0 +1,141 @@
+package assign
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"slices"
+	"testing"
+	"testing/quick"
+)
+
+// roughDay is a day of the model on which anything happens in any mix: proxies connect, disconnect and stall, endpoints
+// drain, start and fail, lists are stale, lose endpoints or name unverified ones, reports are capped and lost, the
+// assigner restarts and is overloaded.
+type roughDay struct {
+	*model
+	busy    float64
+	reports []Event // that wait, since only some come in each batch
+	step    int
+}
+
+// playRoughDay plays a rough day with few proxies or many.
+func playRoughDay(seed int64) *model { return playRoughDayWith(seed, func(*Config) {}) }
+
+// playRoughDayWith is playRoughDay with another configuration.
+func playRoughDayWith(seed int64, change func(*Config)) *model {
+	m := newModel(seed)
+	change(&m.config)
+	m.config.RemovalIsAdvisory = seed%2 == 0
+	for i := 8; seed%5 == 0 && i < 30; i++ {
+		m.proxies = append(m.proxies, newModelProxy(i))
+		m.config.Channel.QueueLimit, m.config.ProxyCount = 15.0*float64(i), float64(i)
+	}
+	m.start()
+	day := &roughDay{model: m, busy: 0.5}
+	for day.step = 0; day.step < 400 && m.violation == ""; day.step++ {
+		events := day.happening()
+		n := min(len(day.reports), 15)
+		m.step(0.02+0.2*m.random.Float64(), append(events, day.reports[:n]...)...)
+		day.reports = day.reports[n:]
+	}
+	return m
+}
+
+// happening draws what happens next, and gives the events that tell the assigner of it.
+func (d *roughDay) happening() []Event {
+	e := d.endpoints[d.random.Intn(len(d.endpoints))]
+	p := d.proxies[d.random.Intn(len(d.proxies))]
+	switch x := d.random.Float64(); {
+	case x < 0.15:
+		if !p.connected {
+			d.connect(p)
+		}
+	case x < 0.18 && p.connected:
+		return d.disconnect(p)
+	case x < 0.23:
+		return d.stop(e)
+	case x < 0.27:
+		e.State, e.failing, e.StartedAt = Ready, false, d.now-d.random.Float64()/2
+		return listOf(e)
+	case x < 0.29:
+		e.failing = !e.failing
+	case x < 0.295:
+		d.start()
+		d.reports = nil
+	case x < 0.3:
+		p.stalledUntil = d.now + 2*d.random.Float64()
+	case x < 0.305:
+		return d.wrongList(p.zone)
+	case x < 0.31:
+		d.busy = 0.3 + 1.5*d.random.Float64()
+	case x < 0.33:
+		return listOf(d.endpoints...)
+	case x < 0.5:
+		d.reports = append(d.reports, d.model.reports(d.busy)...)
+	}
+	return nil
+}
+
+func listOf(endpoints ...*modelEndpoint) []Event {
+	var listed []Endpoint
+	for _, e := range endpoints {
+		listed = append(listed, e.Endpoint)
+	}
+	return []Event{EndpointUpdate{Endpoints: listed}}
+}
+
+func (d *roughDay) disconnect(p *modelProxy) []Event {
+	p.connected = false
+	d.inTransit = slices.DeleteFunc(d.inTransit, func(message modelMessage) bool { return message.to == p })
+	return []Event{ProxyDisconnected{p.id}}
+}
+
+// stop drains or removes an endpoint, unless few of its zone are left.
+func (d *roughDay) stop(e *modelEndpoint) []Event {
+	if e.State != Ready || d.readyIn(e.Zone) <= 2 {
+		return nil
+	}
+	e.State = []EndpointState{Draining, Removed}[d.random.Intn(2)]
+	return listOf(e)
+}
+
+// wrongList calls most endpoints removed while they run, or names one as ready that is not.
+func (d *roughDay) wrongList(zone string) []Event {
+	var listed []Endpoint
+	for _, e := range d.endpoints {
+		if entry := e.Endpoint; entry.State == Ready {
+			entry.State = EndpointState(d.random.Intn(2)) * Removed
+			listed = append(listed, entry)
+		}
+	}
+	if d.random.Intn(2) == 0 {
+		name := fmt.Sprint("s", d.step)
+		d.endpoints = append(d.endpoints, &modelEndpoint{Endpoint{Zone: zone, Name: name, Weight: 1, State: Removed}, true})
+		listed = append(listed[:0], Endpoint{Zone: zone, Name: name, Weight: 1})
+	}
+	return []Event{EndpointUpdate{Endpoints: listed}}
+}
+
+func quickCheck(t *testing.T, property any) {
+	t.Helper()
+	if err := quick.Check(property, &quick.Config{MaxCount: 100, Rand: rand.New(rand.NewSource(7))}); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestRulesOnRoughDays(t *testing.T) {
+	t.Parallel()
+	quickCheck(t, func(seed int64) bool {
+		m := playRoughDay(seed)
+		if m.violation != "" {
+			t.Log(seed, m.violation)
+		}
+		return m.violation == ""
+	})
+}
+
+func TestEqualInputGivesEqualOrders(t *testing.T) {
+	t.Parallel()
+	quickCheck(t, func(seed int64) bool { return reflect.DeepEqual(playRoughDay(seed).log, playRoughDay(seed).log) })
+}
--- /dev/null
+++ b/assign/scheduler_test.go
@@ -0,0 +1,114 @@
+package assign
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// releaseModel is an assigner at which so many proxies are connected that hold what nobody knows, so that each gets
+// assigned tables. The function passes time, hands over events and acknowledges all orders.
+func releaseModel(tb testing.TB, proxies, endpoints int) (a *Assigner, batch func(seconds float64, events ...Event)) {
+	tb.Helper()
+	config := modelConfig()
+	config.ProxyCount, config.Channel.QueueLimit = float64(proxies), 30000
+	a = New(1, config)
+	var listed []Endpoint
+	for i := range endpoints {
+		listed = append(listed, Endpoint{Zone: zoneOf(i), Name: fmt.Sprint("t", i), Weight: 1 + float64(i%2)})
+	}
+	events := []Event{EndpointUpdate{Full: true, Endpoints: listed}}
+	for i := range proxies {
+		events = append(events, ProxyConnected{Proxy: i, Zone: zoneOf(i), TypicalRate: 10})
+	}
+	now := 1000.0
+	batch = func(seconds float64, events ...Event) {
+		now += seconds
+		a.Handle(now, acknowledgmentsFor(a, a.Handle(now, events)))
+	}
+	batch(0, events...)
+	for range 200 {
+		batch(0.1)
+	}
+	return a, batch
+}
+
+// acknowledgmentsFor are those of the proxies, by number, whose tables a batch of orders changes.
+func acknowledgmentsFor(a *Assigner, orders []Order) (events []Event) {
+	var proxies []int
+	sequence := 0
+	for _, order := range orders {
+		switch o := order.(type) {
+		case SetWeight:
+			proxies = append(proxies, o.Table/len(a.groups))
+		case AcknowledgmentRequest:
+			sequence = o.Sequence
+		}
+	}
+	slices.Sort(proxies)
+	for _, p := range slices.Compact(proxies) {
+		events = append(events, Acknowledged{Proxy: p, Sequence: sequence})
+	}
+	return events
+}
+
+// releaseEvents are those of one batch of a release at so many proxies and 200 endpoints: reports, an endpoint that
+// drains and one that starts.
+func releaseEvents(step, proxies int) []Event {
+	var events []Event
+	for i := range 40 {
+		events = append(events, EndpointLoadReport{Zone: zoneOf(i), Endpoint: fmt.Sprint("t", (step*40+i)%200), Interval: 1,
+			MeanLatency: 0.2, Attempts: 20, Load: []float64{0.5}})
+	}
+	for p := range proxies / 10 {
+		events = append(events, ProxyTrafficReport{Proxy: (step*proxies/10 + p) % proxies, RequestClass: "read", Interval: 1, Requests: 10})
+	}
+	drains, starts := step%200, (step+100)%200
+	return append(events, EndpointUpdate{Endpoints: []Endpoint{
+		{Zone: zoneOf(drains), Name: fmt.Sprint("t", drains), Weight: 1, State: Draining},
+		{Zone: zoneOf(starts), Name: fmt.Sprint("t", starts), Weight: 1, State: Ready},
+	}})
+}
+
+// BenchmarkSecondOfARelease plays a second of a large fleet amid a release: ten batches.
+func BenchmarkSecondOfARelease(b *testing.B) {
+	for _, proxies := range []int{480, 2400} {
+		b.Run(fmt.Sprint(proxies), func(b *testing.B) {
+			_, batch := releaseModel(b, proxies, 200)
+			step := 0
+			for b.Loop() {
+				for range 10 {
+					batch(0.1, releaseEvents(step, proxies)...)
+					step++
+				}
+			}
+		})
+	}
+}
+
+// While the channel carries less than what is urgent, every proxy gets a turn: a release that goes on must not let the
+// proxies with the lowest numbers have all of it, and the last ones keep tables with endpoints long removed.
+func TestUrgentOrdersTakeTurns(t *testing.T) {
+	config := modelConfig()
+	config.ProxyCount, config.Channel.QueueLimit, config.Channel.MessageLimit = 20, 60, 0
+	a := New(1, config)
+	listed := newEndpoints("t", 200)
+	events := []Event{EndpointUpdate{Full: true, Endpoints: listed}}
+	for i := range 20 { // they hold what nobody knows
+		events = append(events, ProxyConnected{Proxy: i, Zone: "x", TypicalRate: 10})
+	}
+	now := 1000.0
+	for step := range 30 { // a call carries two tables; each step five endpoints drain, and every table has entries to lose
+		events = acknowledgmentsFor(a, a.Handle(now, events))
+		for i := range listed[step*5 : step*5+5] {
+			listed[step*5+i].State = Draining
+		}
+		events = append(events, EndpointUpdate{Endpoints: listed[step*5 : step*5+5]})
+		now += 0.2
+	}
+	for i := range 20 {
+		if !a.proxy(i).hasAssignedTables {
+			t.Errorf("proxy %d has never got a table", i)
+		}
+	}
+}
--- /dev/null
+++ b/assign/tables.go
@@ -0,0 +1,189 @@
+package assign
+
+import (
+	"math"
+	"slices"
+)
+
+// plan returns the plan of a group's tables in the zone.
+func (z *zone) plan(a *Assigner, group *tableGroup) *tablePlan {
+	if plan := z.plans[group]; plan != nil {
+		return plan
+	}
+	plan := &tablePlan{remoteFraction: 1, byEndpoint: map[*endpoint]*candidate{}}
+	z.plans[group] = plan
+	found := plan.collect(a, z, group)
+	peakWeight := 0.0
+	for _, other := range a.zones {
+		peakWeight += other.peakWeight
+	}
+	usualWeight := peakWeight / math.Max(1, float64(len(a.zones)))
+	plan.remainingCapacity = found.total / math.Max(peakWeight, minDivisor)
+	if found.local > 0 {
+		if z.peakWeight > usualWeight/2 { // else it is coming back and was never seen whole
+			usualWeight = z.peakWeight
+		}
+		demand := plan.demand(a, z, found, usualWeight)
+		plan.remoteFraction = math.Max(z.spillover, 1-found.local/demand)
+	}
+	for _, c := range plan.candidates { // what a table of full size carries, if there are more endpoints
+		plan.fullTableWeight += c.endpoint.listedWeight * tableSize / float64(len(plan.candidates))
+		plan.byEndpoint[c.endpoint] = c
+	}
+	plan.fullTableWeight = math.Min(usualWeight, plan.fullTableWeight)
+	for _, p := range a.proxies {
+		if p.hasAssignedTables && p.connected {
+			plan.addLoad(p.tables[group.index], p.typicalRate)
+		}
+	}
+	return plan
+}
+
+// collect finds the candidates. Warming endpoints are warmed up by their own zone's proxies, which know
+// what they bring there; none gets an entry while the warm ones of the zone fail most attempts, as proxies
+// avoid what fails them and would all press on the few. Where there is nothing else they have to do.
+func (plan *tablePlan) collect(a *Assigner, z *zone, group *tableGroup) (found supply) {
+	var lastResort []*candidate
+	for _, e := range a.endpointList {
+		c := newCandidate(a, e, z.name)
+		if c.weight <= 0 || !group.allows(e, z.name) {
+			continue
+		}
+		found.total += c.weight
+		if c.warming && (z.unhealthy || c.remote && !group.representative.closedIn(z.name)) {
+			lastResort = append(lastResort, c)
+			continue
+		}
+		if !c.remote {
+			found.local += c.weight
+			found.warming = found.warming || c.warming
+		}
+		plan.candidates = append(plan.candidates, c)
+	}
+	if len(plan.candidates) == 0 {
+		plan.candidates = lastResort
+	}
+	return found
+}
+
+func newCandidate(a *Assigner, e *endpoint, zone string) *candidate {
+	c := &candidate{
+		tableEntry:   tableEntry{e, e.listedWeight * e.weightFraction(a, zone)},
+		remote:       e.zone != zone,
+		warming:      e.warming(a),
+		unverified:   e.unverified(a, zone),
+		failureRatio: e.healthIn(zone).failureRatio,
+	}
+	if c.unverified { // half of probation; rank has the other
+		c.weight = math.Min(c.weight, math.Sqrt(probationWeight)*e.listedWeight)
+	}
+	return c
+}
+
+// demand is the weight that the zone's proxies need: what they usually have, less what the fleet has lost,
+// and in an overloaded zone what their traffic takes, as far as it is known. Beside warming endpoints there
+// must be warm ones, however bad these look. Proxies that do not report here bring as much as those that do.
+func (plan *tablePlan) demand(a *Assigner, z *zone, found supply, usualWeight float64) float64 {
+	demand := usualWeight
+	if !found.warming {
+		demand *= math.Min(1, plan.remainingCapacity)
+	}
+	if !z.overloaded {
+		return demand
+	}
+	reporting := 0.0
+	for _, other := range a.zones {
+		reporting += other.reportingProxies
+	}
+	proxies := math.Max(reporting, a.config.ProxyCount)
+	unheard := math.Max(1, proxies/float64(len(a.zones))/z.reportingProxies)
+	return math.Max(demand, found.total*z.trafficFraction*reporting/proxies*unheard)
+}
+
+// rankFor ranks the candidates for a proxy. It keeps an entry until another endpoint is clearly less
+// loaded: a new connection costs much.
+func (plan *tablePlan) rankFor(held []tableEntry) {
+	for _, c := range plan.candidates {
+		c.rank = c.load
+		if c.unverified {
+			c.rank /= math.Sqrt(probationWeight)
+		}
+	}
+	for _, entry := range held {
+		if c := plan.byEndpoint[entry.endpoint]; c != nil && entry.weight > 0 {
+			c.rank = c.load/reassignmentRatio - stickinessMargin
+		}
+	}
+}
+
+// lowestRanked gives the first n local or remote candidates. Sorting all for each proxy would cost a large
+// fleet a core.
+func (plan *tablePlan) lowestRanked(remote bool, n int) []*candidate {
+	chosen := make([]*candidate, 0, n+1)
+	if n <= 0 {
+		return chosen
+	}
+	for _, c := range plan.candidates {
+		if c.remote != remote {
+			continue
+		}
+		i := len(chosen)
+		for i > 0 && c.dealtBefore(chosen[i-1]) {
+			i--
+		}
+		if i < n {
+			chosen = slices.Insert(chosen, i, c)
+			chosen = chosen[:min(len(chosen), n)]
+		}
+	}
+	return chosen
+}
+
+// buildTable drafts a proxy's table for a group: endpoints of its zone first, since crossing is charged,
+// then others until it carries what tables of the zone usually do.
+func (p *proxy) buildTable(a *Assigner, group *tableGroup) *draft {
+	plan := a.zone(p.zone).plan(a, group)
+	held := p.tables[group.index]
+	plan.addLoad(held, -p.typicalRate)
+	plan.rankFor(held)
+	size := int(math.Round(a.split.tableSize))
+	remoteSize := min(int(math.Round(plan.remoteFraction*float64(size))), size-1)
+	table := &draft{}
+	localWeight, _ := table.add(plan.lowestRanked(false, size-remoteSize))
+	remote := len(table.entries)
+	remoteWeight, remoteListed := table.add(plan.lowestRanked(true, remoteSize))
+	if localWeight > 0 && remoteWeight > 0 { // the remote entries get their fraction, however few they are
+		scale := localWeight / remoteListed * plan.remoteFraction / (1 - plan.remoteFraction)
+		for i := range table.entries[remote:] {
+			table.entries[remote+i].weight *= scale
+		}
+		remoteWeight *= scale
+	}
+	table.weight = localWeight + remoteWeight
+	plan.addLoad(table.entries, p.typicalRate)
+	table.capWarming(a, plan)
+	return table
+}
+
+// capWarming leaves warming endpoints the part that a full table would give them, even if warm ones are
+// missing, and sets the capacity of the table.
+func (d *draft) capWarming(a *Assigner, plan *tablePlan) {
+	if d.warming == 0 {
+		return
+	}
+	fullTableWeight := math.Max(plan.fullTableWeight, minDivisor)
+	maxShare := math.Min(maxWarmingShare, d.warming/fullTableWeight)
+	warm := d.weight - d.warming
+	if warm < minDivisor { // all zones come to the same few warming endpoints
+		d.capacity = math.Min(plan.remainingCapacity, maxShare)
+		return
+	}
+	if d.warming > maxShare*d.weight {
+		for i, entry := range d.entries {
+			if entry.endpoint.warming(a) {
+				d.entries[i].weight *= maxShare / (1 - maxShare) * warm / d.warming
+			}
+		}
+	}
+	d.capacity = math.Min(1, d.sound/(1-maxShare)/fullTableWeight)
+}
--- /dev/null
+++ b/assign/warmup_test.go
@@ -0,0 +1,88 @@
+package assign
+
+import "testing"
+
+// Where rate limits are ignored nothing keeps a burst from a warming endpoint: it stays out until it is warm.
+func TestWarmingEndpointsStayOutWhereLimitsAreIgnored(t *testing.T) {
+	for mode, want := range map[AdmissionMode]bool{AdmitByRate: true, AdmitByRatio: true, AdmissionIgnored: false} {
+		config := DefaultConfig()
+		config.Admission = mode
+		config.WarmUp = WarmUpConfig{InitialFraction: 0.2, Duration: 10, OverloadWindow: 3, OverloadMultiple: 2}
+		a := New(1, config)
+		a.Handle(5, []Event{EndpointUpdate{Full: true, Endpoints: []Endpoint{{Name: "a", Zone: "x", StartedAt: 1}}}})
+		if got := a.endpoints["a"].weightFraction(a, "x") > 0; got != want {
+			t.Errorf("admission mode %d: has a weight: %v", mode, got)
+		}
+	}
+}
+
+// When all that a table held is removed and only warming endpoints are left, the removed ones must still leave it at
+// once, and what the proxies let in must shrink to what warming endpoints can do.
+func TestOnlyWarmingEndpointsLeft(t *testing.T) {
+	m := calmModel(t)
+	for i, e := range m.endpoints {
+		e.State = Removed
+		if i == 1 || i == 4 { // of zone y
+			e.State, e.StartedAt = Ready, m.now-3.5
+		}
+	}
+	m.update(m.endpoints...)
+	m.idle(3)
+	for _, p := range m.proxies {
+		held, limits := m.held(p, 0), m.record(p.id).classLimits
+		if m.violation != "" || held["t1"] == 0 || held["t4"] == 0 || limits == nil || limits[0] > 5 {
+			t.Errorf("proxy %d holds %v, lets in %v; %s", p.id, held, limits, m.violation)
+		}
+	}
+}
+
+// Beside warming endpoints a table needs warm ones, however bad those look; but where they fail most attempts it gets
+// none of the warming ones: proxies keep away from what fails them, and all would press on the few.
+func TestWarmingEndpointsHaveSoundOnesBeside(t *testing.T) {
+	for failureRatio, maxShare := range map[float64]float64{0: 0.5, 0.8: 0} {
+		m := calmModel(t)
+		for _, e := range m.endpoints {
+			e.StartedAt = 0
+			if e.Zone == "x" {
+				e.StartedAt = m.now - 3.5
+				continue
+			}
+			health := m.assigner.endpoints[e.Name].healthIn("x")
+			health.weight, health.failureRatio = probationWeight, failureRatio
+		}
+		m.update(m.endpoints[0], m.endpoints[3], m.endpoints[6], m.endpoints[9], m.endpoints[12])
+		m.zoneX()
+		table := m.signTable(0)
+		warming, sum := 0.0, 0.0
+		for _, entry := range table.entries {
+			sum += entry.weight
+			if entry.endpoint.warming(m.assigner) {
+				warming += entry.weight
+			}
+		}
+		if warming/sum > maxShare || len(table.entries) < 2 || maxShare > 0 && (warming == 0 || table.capacity > 0.5) {
+			t.Errorf("%.1f fail: warming endpoints take %.2f of a table that carries %.2f", failureRatio, warming/sum, table.capacity)
+		}
+	}
+}
+
+// A zone with more endpoints than a table has entries carries what a full table does: while the fleet grows by warming
+// endpoints, proxies must not be held to a small part of what they bring.
+func TestGrowingZoneIsNotLimitedForItsSize(t *testing.T) {
+	m := calmModel(t)
+	for _, entry := range newEndpoints("n", 20) {
+		entry.StartedAt = m.now - 6
+		m.step(0.01, EndpointUpdate{Endpoints: []Endpoint{entry}})
+	}
+	table := m.signTable(0)
+	if len(table.entries) > tableSize || table.capacity < 0.5 {
+		t.Errorf("%d entries carry %.2f", len(table.entries), table.capacity)
+	}
+	for _, e := range m.assigner.endpointList {
+		e.healthIn("x").failureRatio = 0.9
+	}
+	m.zoneX()
+	if failing := m.signTable(0); failing.capacity > table.capacity/5 {
+		t.Errorf("entries that fail nine attempts in ten carry %.2f of %.2f", failing.capacity, table.capacity)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,8 +15,8 @@
 
 	"madderhollow/assign"
 	"madderhollow/internal/backoff"
+	"madderhollow/internal/settings"
 	"madderhollow/internal/wire"
-	"madderhollow/settings"
 )
 
 // Config is what the program runs by.
@@ -29,7 +29,7 @@
 	PeerListen, PeersAll           string
 	Peers                          []string
 	Known                          wire.List
-	Settings                       assign.Settings
+	Settings                       assign.Config
 }
 
 type file struct {
@@ -186,6 +186,5 @@
 
 // MayTell tells whether the settings allow messages between assigners and there is where to listen for them.
 func (c *Config) MayTell() bool {
-	may, _ := c.Settings["may.tell"].(bool)
-	return may && len(c.Peers) > 0
+	return c.Settings.PeerMessages && len(c.Peers) > 0
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -46,7 +46,7 @@
 	}
 	b := &bench{Discovery: d, at: moving.At(d.Address()), news: make(chan assign.EndpointUpdate, 1000)}
 	sink := func(_ context.Context, e assign.Event) error { b.news <- e.(assign.EndpointUpdate); return nil }
-	b.w = New(b.at, known, wire.NewCodec(assign.Settings{}, time.Now()), sink, 64, 1, zerolog.Nop())
+	b.w = New(b.at, known, wire.NewCodec(assign.DefaultConfig(), time.Now()), sink, 64, 1, zerolog.Nop())
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Add(1)
--- a/internal/exchange/bench_test.go
+++ b/internal/exchange/bench_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"madderhollow/assign"
+	"madderhollow/internal/testconfig"
 	"madderhollow/internal/wire"
 )
 
@@ -15,8 +16,8 @@
 // a line at each of them.
 func crowd(b *testing.B, n int) (*Exchange, []assign.Order) {
 	b.Helper()
-	cfg := assign.Settings{"zones": []string{"a"}, "proxies": float64(n), "kind.name": []string{"read", "sign"},
-		"messages.limit": 20.0, "messages.span": 10.0, "transit.mean": 0.2}
+	cfg := testconfig.New([]string{"a"}, n, "read", "sign")
+	cfg.Channel = assign.ChannelConfig{MessageLimit: 20, MessageWindow: 10, MeanTransit: 0.2}
 	x := New(cfg, wire.NewCodec(cfg, time.Now()), zerolog.Nop())
 	var events []assign.Event
 	var orders, lines []assign.Order
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -133,14 +133,10 @@
 
 // New returns an empty exchange. Of the settings it keeps the limit on messages to a proxy, which calls made
 // again could break, since the module counts turns.
-func New(cfg assign.Settings, codec *wire.Codec, log zerolog.Logger) *Exchange {
-	seconds := func(name string) time.Duration {
-		s, _ := cfg[name].(float64)
-		return time.Duration(s * float64(time.Second))
-	}
-	most, _ := cfg["messages.limit"].(float64)
-	return &Exchange{most: int(most), span: seconds("messages.span") + spanMore,
-		receipt: max(receiptLeast, min(receiptMost, seconds("transit.mean"))),
+func New(cfg assign.Config, codec *wire.Codec, log zerolog.Logger) *Exchange {
+	seconds := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	return &Exchange{most: int(cfg.Channel.MessageLimit), span: seconds(cfg.Channel.MessageWindow) + spanMore,
+		receipt: max(receiptLeast, min(receiptMost, seconds(cfg.Channel.MeanTransit))),
 		events:  make(chan assign.Event, eventsMost), reports: make(chan assign.Event, reportsMost), codec: codec, log: log,
 		wake: make(chan struct{}, 1), places: map[key]int{}, bound: map[int]time.Time{}, lives: map[int]int{}, joined: map[int]*reached{},
 		users: map[int]map[*reached]struct{}{}}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -11,12 +11,13 @@
 	"github.com/rs/zerolog"
 
 	"madderhollow/assign"
+	"madderhollow/internal/testconfig"
 	"madderhollow/internal/wire"
 )
 
 func small(most int) *Exchange {
-	cfg := assign.Settings{"zones": []string{"a"}, "proxies": 8.0, "kind.name": []string{"read"}, "messages.limit": float64(most),
-		"messages.span": 3600.0, "transit.mean": 0.05}
+	cfg := testconfig.New([]string{"a"}, 8, "read")
+	cfg.Channel = assign.ChannelConfig{MessageLimit: float64(most), MessageWindow: 3600, MeanTransit: 0.05}
 	return New(cfg, wire.NewCodec(cfg, time.Now()), zerolog.Nop())
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -44,9 +44,8 @@
 }
 
 // New makes a host for an assigner; began is when its clock showed Start.
-func New(seed int64, cfg assign.Settings, x *exchange.Exchange, ports Ports, began time.Time, log zerolog.Logger) *Host {
-	least, _ := cfg["turn.least"].(float64)
-	return &Host{a: assign.New(seed, cfg), x: x, ports: ports, began: began, least: least, log: log}
+func New(seed int64, cfg assign.Config, x *exchange.Exchange, ports Ports, began time.Time, log zerolog.Logger) *Host {
+	return &Host{a: assign.New(seed, cfg), x: x, ports: ports, began: began, least: cfg.MinBatchInterval, log: log}
 }
 
 func (h *Host) now() float64 { return Start + time.Since(h.began).Seconds() }
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -12,6 +12,7 @@
 
 	"madderhollow/assign"
 	"madderhollow/internal/exchange"
+	"madderhollow/internal/testconfig"
 	"madderhollow/internal/wire"
 )
 
@@ -38,7 +39,8 @@
 // the settings allow, none lost, in their order.
 func TestTurns(t *testing.T) {
 	const least, beats = 0.02, 2
-	cfg := assign.Settings{"turn.least": least, "zones": []string{"x"}, "kind.name": []string{"read"}, "list.mode": "on_request"}
+	cfg := testconfig.New([]string{"x"}, 1, "read")
+	cfg.MinBatchInterval, cfg.ListMode = least, assign.ListOnRequest
 	x := exchange.New(cfg, wire.NewCodec(cfg, time.Now()), zerolog.Nop())
 	follows := 0
 	h := New(1, cfg, x, Ports{Follow: func(bool) { follows++ }}, time.Now(), zerolog.Nop())
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -309,7 +309,7 @@
 		}
 		c.bad, c.good = 0, true
 		s.reports.Add(1)
-		return s.sink(ctx, m)
+		return s.sink(ctx, m.(assign.Event))
 	}
 	return nil
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -19,12 +19,13 @@
 
 	"madderhollow/assign"
 	"madderhollow/internal/standin"
+	"madderhollow/internal/testconfig"
 	"madderhollow/internal/wire"
 )
 
 const soon = 5 * time.Second
 
-var codec = wire.NewCodec(assign.Settings{"zones": []string{"a", "b"}, "proxies": 8.0, "kind.name": []string{"read"}}, time.Now())
+var codec = wire.NewCodec(testconfig.New([]string{"a", "b"}, 8, "read"), time.Now())
 
 // open starts a server that holds so many connections beside the spare ones.
 func open(t *testing.T, most int) (address string, got chan assign.Event, s *Server) {
--- a/internal/peer/bytes_test.go
+++ b/internal/peer/bytes_test.go
@@ -2,18 +2,15 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"net"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
-)
 
-var update = flag.Bool("update", false, "write testdata anew instead of comparing with it")
+	"madderhollow/internal/golden"
+)
 
 // TestPeerBytes compares the datagrams that peers get for a fixed list of messages with those of an earlier build.
 func TestPeerBytes(t *testing.T) {
@@ -43,17 +40,5 @@
 			fmt.Fprintf(&got, "%d %x\n", to, buffer[:n])
 		}
 	}
-	path := filepath.Join("testdata", "peer_bytes.txt")
-	if *update {
-		if err := os.WriteFile(path, got.Bytes(), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(got.Bytes(), want) {
-		t.Errorf("the bytes have changed: got\n%s\nwant\n%s", got.Bytes(), want)
-	}
+	golden.Compare(t, "peer_bytes.txt", got.Bytes())
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,17 +19,18 @@
 	"madderhollow/internal/exchange"
 	"madderhollow/internal/moving"
 	"madderhollow/internal/standin"
+	"madderhollow/internal/testconfig"
 	"madderhollow/internal/wire"
 )
 
 const soon = 5 * time.Second
 
-var codec = wire.NewCodec(assign.Settings{"zones": []string{"a", "b"}, "proxies": 8.0, "kind.name": []string{"read", "sign"}}, time.Now())
+var codec = wire.NewCodec(testconfig.New([]string{"a", "b"}, 8, "read", "sign"), time.Now())
 
 // Few messages in a short span, so that a test meets the limit.
 const most, span = 4, 500 * time.Millisecond
 
-var limits = assign.Settings{"messages.limit": float64(most), "messages.span": span.Seconds(), "transit.mean": 0.05}
+var limits = assign.Config{Channel: assign.ChannelConfig{MessageLimit: most, MessageWindow: span.Seconds(), MeanTransit: 0.05}}
 
 // crowded tells whether some proxy got more messages within the span than it may.
 func (b *bench) crowded() (bad bool) {
--- a/settings/odd_test.go
+++ b/internal/settings/odd_test.go
@@ -9,8 +9,8 @@
 	"testing/quick"
 
 	"madderhollow/assign"
+	"madderhollow/internal/settings"
 	"madderhollow/internal/standin"
-	"madderhollow/settings"
 )
 
 // spoil takes members out of an object, puts others in, and gives some another type or an absurd value.
@@ -61,7 +61,6 @@
 		spoil(rng, obj)
 		cfg := settings.Translate(obj)
 		a := assign.New(seed, cfg)
-		kinds, _ := cfg["kind.name"].([]string)
 		now, mark := 1e6, 0
 		for step := range 40 {
 			var events []assign.Event
@@ -78,8 +77,8 @@
 				assign.EndpointLoadReport{Zone: zone, Endpoint: task, Interval: 1, MeanLatency: rng.Float64() * 4, Attempts: 20, Failed: rng.Intn(20), Load: []float64{rng.Float64()}},
 				assign.EndpointUpdate{Endpoints: []assign.Endpoint{{Zone: zone, Name: task, Weight: 1, State: assign.EndpointState(rng.Intn(3)), StartedAt: now * float64(rng.Intn(2))}}},
 				assign.Acknowledged{Proxy: rng.Intn(6), Sequence: mark})
-			for _, k := range kinds {
-				events = append(events, assign.ProxyTrafficReport{Proxy: rng.Intn(6), RequestClass: k, Interval: 1, Requests: rng.Intn(100)})
+			for _, class := range cfg.RequestClasses {
+				events = append(events, assign.ProxyTrafficReport{Proxy: rng.Intn(6), RequestClass: class.Name, Interval: 1, Requests: rng.Intn(100)})
 			}
 			for _, o := range a.Handle(now, events) {
 				bad := false
--- a/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"madderhollow/assign"
-	"madderhollow/benchwire"
 	"madderhollow/internal/config"
+	"madderhollow/internal/simproto"
 	"madderhollow/internal/wire"
 )
 
@@ -19,32 +19,33 @@
 
 // Both hosts must hand the module the same map, or the bench's figures say nothing of the sockets.
 func TestBothHostsHandOverTheSame(t *testing.T) {
-	dec := benchwire.NewDecoder()
-	l, err := dec.Decode([]byte(`["openInstance",0,7,` + object + `]`))
+	dec := simproto.NewDecoder()
+	message, err := dec.Decode([]byte(`["openInstance",0,7,` + object + `]`))
 	if err != nil {
 		t.Fatal(err)
 	}
-	bench := l.Event.(benchwire.Start).Settings
+	bench := message.(simproto.OpenInstance).Config
 	c, err := config.Parse(fmt.Appendf(nil, `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
 		"relay":{"address":"127.0.0.1:3"},"known":{"index":0,"snapshot":true,"endpoints":[]},"settings":%s}`, object),
 		func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !reflect.DeepEqual(bench, c.Settings) || bench["turn.least"] != 0.002 {
+	if !reflect.DeepEqual(bench, c.Settings) || bench.MinBatchInterval != 0.002 {
 		t.Errorf("bench %v\nsockets %v", bench, c.Settings)
 	}
 	// Load figures come as a row there and by name here, in whatever order.
-	l, err = dec.Decode([]byte(`["tally",0,"x",41.5,3,1000,"t",212,[0.61,140,93]]`))
+	message, err = dec.Decode([]byte(`["tally",0,"x",41.5,3,1000,"t",212,[0.61,140,93]]`))
 	if err != nil {
 		t.Fatal(err)
 	}
+	want := message.(simproto.InstanceEvent).Event
 	codec := wire.NewCodec(c.Settings, time.Unix(0, 0))
 	for _, metrics := range []string{`{"tps":93,"mean_ms":140,"more":1,"load_share":0.61}`, `{"util":0.61,"qps":93,"latency_ms":140}`} {
 		m, err := codec.Line([]byte(`{"@type":"heard","locality":"x","endpoint":"t","total":212,"errors":3,"rtt":41.5,
 			"interval":1000,"metrics":` + metrics + `}`))
-		if err != nil || !reflect.DeepEqual(m, l.Event) || m.(assign.EndpointLoadReport).Load[1] != 0.14 {
-			t.Errorf("%s: got %+v (%v), want %+v", metrics, m, err, l.Event)
+		if err != nil || !reflect.DeepEqual(m, want) || m.(assign.EndpointLoadReport).Load[1] != 0.14 {
+			t.Errorf("%s: got %+v (%v), want %+v", metrics, m, err, want)
 		}
 	}
 }
--- a/cmd/benchlink/main_test.go
+++ b/internal/simhost/host_test.go
@@ -1,28 +1,30 @@
-package main
+package simhost
 
 import (
-	"bufio"
 	"bytes"
 	"strings"
 	"testing"
+
+	"madderhollow/internal/simproto"
 )
 
-func play(t *testing.T, lines ...string) (out, diag string) {
+// play gives the reply and the diagnostics of some lines.
+func play(t *testing.T, lines ...string) (reply, diagnostics string) {
 	t.Helper()
-	var o, d bytes.Buffer
-	if err := serve(strings.NewReader(strings.Join(lines, "\n")+"\n"), &o, &d); err != nil {
+	var out, diagnosed bytes.Buffer
+	if err := New(strings.NewReader(strings.Join(lines, "\n")+"\n"), &out, &diagnosed).Serve(); err != nil {
 		t.Fatal(err)
 	}
-	return o.String(), d.String()
+	return out.String(), diagnosed.String()
 }
 
 const (
-	open = `["openInstance",4,1,{"classes":[{"name":"r"}],"familyInfo":{"pendingMax":500}}]`
-	list = `["update",4,1,"C",[["n",0,"a:1",1,"healthy",null,"m"]]]`
+	openInstance = `["openInstance",4,1,{"classes":[{"name":"r"}],"familyInfo":{"pendingMax":500}}]`
+	fullUpdate   = `["update",4,1,"C",[["n",0,"a:1",1,"healthy",null,"m"]]]`
 )
 
 func TestBatchesAreAnswered(t *testing.T) {
-	out, diag := play(t, `["mark",1,1]`, `["flush"]`, `["mark",2,2]`, open, list, `["connected",4,0,"n",5,false]`,
+	out, diag := play(t, `["mark",1,1]`, `["flush"]`, `["mark",2,2]`, openInstance, fullUpdate, `["connected",4,0,"n",5,false]`,
 		`["flush"]`, `["mark",3,3]`, `["halt",4]`, `["flush"]`, `["mark",4,9007199254740993]`, `["left",4,0]`, `["flush"]`)
 	for _, want := range []string{"[\"end\",1]\n", `["setLine",4,0,1,"a:1"]`, `["handTable",4,0,0,1]`,
 		"[\"end\",3]\n", "[\"end\",9007199254740993]\n"} {
@@ -49,11 +51,11 @@
 
 // A broken instance must never look like one with nothing to order.
 func TestPanicBecomesFault(t *testing.T) {
-	var o, d bytes.Buffer
-	w := bufio.NewWriter(&o)
-	act(w, nil, turn{instance: 4}, 1, &d)
-	w.Flush()
-	if !strings.HasPrefix(o.String(), `["fault",4,"`) || d.Len() == 0 {
-		t.Errorf("reply %q, log %q", o.String(), d.String())
+	var out, diagnosed bytes.Buffer
+	h := New(strings.NewReader(""), &out, &diagnosed)
+	h.batch = &simproto.BatchStart{Now: 1}
+	lines, err := h.handle(nil, instanceEvents{instance: 4})
+	if err != nil || len(lines) != 1 || !strings.HasPrefix(string(lines[0]), `["fault",4,"`) || diagnosed.Len() == 0 {
+		t.Errorf("lines %q (%v), log %q", lines, err, diagnosed.String())
 	}
 }
--- a/benchwire/bytes_test.go
+++ b/internal/simproto/bytes_test.go
@@ -1,17 +1,13 @@
-package benchwire
+package simproto
 
 import (
 	"bytes"
-	"flag"
-	"os"
-	"path/filepath"
 	"testing"
 
 	"madderhollow/assign"
+	"madderhollow/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write testdata anew instead of comparing with it")
-
 // TestSimulatorBytes compares what goes to the simulator for a fixed list of orders with the bytes of an earlier build.
 func TestSimulatorBytes(t *testing.T) {
 	orders := []assign.Order{assign.WatchEndpoints{Enabled: true}, assign.WatchEndpoints{}, assign.FetchEndpoints{}, assign.HealthCheck{Endpoint: "a:1"}, assign.Log{Message: `two "known" tasks`},
@@ -36,19 +32,11 @@
 		}
 		got.Write(append(line, '\n'))
 	}
-	got.Write(append(EncodeFault(3, `broken: "why"`), '\n'))
-	got.Write(append(EncodeEnd("12"), '\n'))
-	path := filepath.Join("testdata", "simulator_bytes.txt")
-	if *update {
-		if err := os.WriteFile(path, got.Bytes(), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
+	fault, err := EncodeFault(3, `broken: "why"`)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !bytes.Equal(got.Bytes(), want) {
-		t.Errorf("the bytes have changed: got\n%s\nwant\n%s", got.Bytes(), want)
-	}
+	got.Write(append(fault, '\n'))
+	got.Write(append(EncodeEnd("12"), '\n'))
+	golden.Compare(t, "simulator_bytes.txt", got.Bytes())
 }
--- a/benchwire/wire_test.go
+++ b/internal/simproto/simproto_test.go
@@ -1,4 +1,4 @@
-package benchwire
+package simproto
 
 import (
 	"encoding/json"
@@ -9,17 +9,27 @@
 	"madderhollow/assign"
 )
 
-func decode(t *testing.T, line string) Line {
+func decode(t *testing.T, line string) Message {
 	t.Helper()
-	l, err := NewDecoder().Decode([]byte(line))
+	message, err := NewDecoder().Decode([]byte(line))
 	if err != nil {
 		t.Fatalf("%s: %v", line, err)
 	}
-	return l
+	return message
+}
+
+// eventOf is the event of a message, which must be for instance 3.
+func eventOf(t *testing.T, message Message) assign.Event {
+	t.Helper()
+	m, ok := message.(InstanceEvent)
+	if !ok || m.Instance != 3 {
+		t.Fatalf("got %#v", message)
+	}
+	return m.Event
 }
 
 func TestDecodeEvents(t *testing.T) {
-	for line, want := range map[string]any{
+	for line, want := range map[string]assign.Event{
 		`["tally",3,"north",48.25,1,1000.0,"a:1",14,[0.62,140],"more"]`: assign.EndpointLoadReport{Zone: "north", MeanLatency: 0.04825,
 			Failed: 1, Interval: 1, Endpoint: "a:1", Attempts: 14, Load: []float64{0.62, 140}},
 		`["update",3,41,"D",[["north",7,"a:1",1.5,"cordoned",6100.0,"m"]]]`: assign.EndpointUpdate{Version: 41,
@@ -38,32 +48,45 @@
 		`["datagram",3,2,"aGkgNw=="]`:            assign.PeerMessageReceived{From: 2, Data: []byte("hi 7")},
 		`["ring",3,77]`:                          assign.TimerFired{ID: 77},
 		`["left",3,41]`:                          assign.ProxyDisconnected{Proxy: 41},
-		`["halt",3]`:                             Stop{},
-		`["mark",8412.25,12]`:                    Tick{8.41225, json.Number("12")},
-		`["weather",3,"rain"]`:                   nil,
 	} {
-		if got := decode(t, line).Event; !reflect.DeepEqual(got, want) {
+		if got := eventOf(t, decode(t, line)); !reflect.DeepEqual(got, want) {
+			t.Errorf("%s\n got %#v\nwant %#v", line, got, want)
+		}
+	}
+}
+
+func TestDecodeOtherMessages(t *testing.T) {
+	for line, want := range map[string]Message{
+		`["halt",3]`:           HaltInstance{3},
+		`["mark",8412.25,12]`:  BatchStart{8.41225, json.Number("12")},
+		`["flush"]`:            BatchEnd{},
+		`["weather",3,"rain"]`: UnknownMessage{"weather"},
+	} {
+		if got := decode(t, line); !reflect.DeepEqual(got, want) {
 			t.Errorf("%s\n got %#v\nwant %#v", line, got, want)
 		}
 	}
 }
 
 func TestDecodeStart(t *testing.T) {
-	l := decode(t, `["openInstance",4,9007199254740993,{"az":"n","new":{"key":[1,"x"]},"roundMs":2,
+	message := decode(t, `["openInstance",4,9007199254740993,{"az":"n","new":{"key":[1,"x"]},"roundMs":2,
 		"classes":[{"name":"r","effect":"keyed","group":"cell","worth":2,"onTimeMs":1500,"deadlineMs":3000,
 		"onlyZones":["n"]},{"effect":"odd"}],"familyInfo":{"bareMs":6000.0,"homeOnly":[false,true]},
 		"report":{"columns":["load_share","mean_ms"]}}]`)
-	st := l.Event.(Start)
-	if st.Seed != 9007199254740993 || l.Instance != 4 {
-		t.Errorf("seed %d, instance %d", st.Seed, l.Instance)
+	open, ok := message.(OpenInstance)
+	if !ok || open.Seed != 9007199254740993 || open.Instance != 4 {
+		t.Fatalf("got %#v", message)
 	}
-	for name, want := range map[string]any{"zone": "n", "bare.limit": 6.0, "kind.ownZone": []bool{false, true},
-		"kind.repeat": []string{"uniqued", "non-replayable"}, "kind.group": []string{"bay", ""},
-		"kind.target": []float64{1.5, 0}, "kind.zones": [][]string{{"n"}, nil},
-		"load.columns": []string{"busy", "serviceTime"}} {
-		if got := st.Settings[name]; !reflect.DeepEqual(got, want) {
-			t.Errorf("%s: got %#v, want %#v", name, got, want)
-		}
+	want := assign.DefaultConfig()
+	want.Zone, want.MaxTimeWithoutPick, want.MinBatchInterval = "n", 6, 0.002
+	want.Reports.LoadMetrics = []assign.LoadMetric{assign.MetricBusy, assign.MetricServiceTime}
+	want.RequestClasses = []assign.RequestClassConfig{
+		{Name: "r", Group: "cell", PriorityWeight: 2, LatencyObjective: 1.5, Deadline: 3, AllowedZones: []string{"n"},
+			RetrySafety: assign.IdempotencyKey},
+		{OwnZoneOnly: true, RetrySafety: assign.NotIdempotent},
+	}
+	if !reflect.DeepEqual(open.Config, want) {
+		t.Errorf("got %#v\nwant %#v", open.Config, want)
 	}
 }
 
@@ -79,9 +102,9 @@
 		`["datagram",3,2,"*"]`:                             "datagram: field 2", `["openInstance",3,1,[]]`: "field 2",
 		`["mark","x",1]`: "mark: field 0",
 	} {
-		l, err := NewDecoder().Decode([]byte(line))
+		message, err := NewDecoder().Decode([]byte(line))
 		if err == nil || !strings.Contains(err.Error(), want) {
-			t.Errorf("%s: error %v, want one with %q (event %#v)", line, err, want, l.Event)
+			t.Errorf("%s: error %v, want one with %q (message %#v)", line, err, want, message)
 		}
 	}
 }
@@ -105,7 +128,7 @@
 			t.Errorf("got %s (%v), want %s", got, err, want)
 		}
 	}
-	if _, err := Encode(3, "an odd thing"); err == nil {
+	if _, err := Encode(3, nil); err == nil {
 		t.Error("an unknown order was encoded")
 	}
 }
@@ -116,9 +139,11 @@
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, line []byte) {
-		l, err := NewDecoder().Decode(line)
-		if m, ok := l.Event.(assign.EndpointLoadReport); err == nil && ok && (m.Attempts < 0 || m.Failed < 0 || m.Interval < 0) {
-			t.Errorf("%s became %+v", line, m)
+		message, err := NewDecoder().Decode(line)
+		event, _ := message.(InstanceEvent)
+		report, ok := event.Event.(assign.EndpointLoadReport)
+		if err == nil && ok && (report.Attempts < 0 || report.Failed < 0 || report.Interval < 0) {
+			t.Errorf("%s became %+v", line, report)
 		}
 	})
 }
--- a/internal/wire/bytes_test.go
+++ b/internal/wire/bytes_test.go
@@ -2,17 +2,13 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"testing"
 
 	"madderhollow/assign"
+	"madderhollow/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write testdata anew instead of comparing with it")
-
 // relayOrders has every order that goes to the relay, with figures of every size.
 func relayOrders() []assign.Order {
 	var orders []assign.Order
@@ -45,17 +41,5 @@
 		fmt.Fprintln(&got, text)
 	}
 	fmt.Fprintf(&got, "%s\n%s%s", Call(texts), Pong, Refused)
-	path := filepath.Join("testdata", "relay_bytes.txt")
-	if *update {
-		if err := os.WriteFile(path, got.Bytes(), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(got.Bytes(), want) {
-		t.Errorf("the bytes have changed: got\n%s\nwant\n%s", got.Bytes(), want)
-	}
+	golden.Compare(t, "relay_bytes.txt", got.Bytes())
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"madderhollow/assign"
-	"madderhollow/settings"
+	"madderhollow/internal/settings"
 )
 
 // Messages at the assigner's address that are no events.
@@ -42,28 +42,32 @@
 
 // Codec holds what of the settings the messages refer to by name or by place.
 type Codec struct {
-	columns, kinds, zones []string
-	proxies               int
-	longestAnswer         float64   // in ms: no answer comes after all client timeouts
-	longestSpan           float64   // in ms, of a report
-	epoch                 time.Time // when the assigner's clock showed 0
+	columns       []assign.LoadMetric
+	kinds, zones  []string
+	proxies       int
+	longestAnswer float64   // in ms: no answer comes after all client timeouts
+	longestSpan   float64   // in ms, of a report
+	epoch         time.Time // when the assigner's clock showed 0
 }
 
 // NewCodec reads the settings. Epoch is the wall clock's time at which the assigner's clock showed 0.
-func NewCodec(cfg assign.Settings, epoch time.Time) *Codec {
+func NewCodec(cfg assign.Config, epoch time.Time) *Codec {
 	c := &Codec{epoch: epoch, proxies: math.MaxUint16, longestAnswer: largest, longestSpan: largest}
-	c.columns, _ = cfg["load.columns"].([]string)
-	c.kinds, _ = cfg["kind.name"].([]string)
-	c.zones, _ = cfg["zones"].([]string)
-	if n, ok := cfg["proxies"].(float64); ok {
-		c.proxies = int(n)
+	c.columns, c.zones = cfg.Reports.LoadMetrics, cfg.Zones
+	deadline := 0.0
+	for _, class := range cfg.RequestClasses {
+		c.kinds = append(c.kinds, class.Name)
+		deadline = max(deadline, class.Deadline)
 	}
-	if l, ok := cfg["kind.timeout"].([]float64); ok && len(l) > 0 && slices.Max(l) > 0 {
-		c.longestAnswer = stretch * slices.Max(l) * 1000
+	if cfg.ProxyCount != assign.UnknownProxyCount {
+		c.proxies = int(cfg.ProxyCount)
 	}
-	if s, ok := cfg["reports.every"].(float64); ok && s > 0 {
+	if deadline > 0 {
+		c.longestAnswer = stretch * deadline * 1000
+	}
+	if s := cfg.Reports.Interval; s > 0 {
 		// Lines a second are capped: those of a large fleet take their turns, and each then tells of the time since its last.
-		if limit, ok := cfg["reports.limit"].(float64); ok && limit > 0 {
+		if limit := cfg.Reports.MaxPerSecond; limit > 0 {
 			s = max(s, float64(c.proxies*len(c.kinds))/limit)
 		}
 		c.longestSpan = stretch * s * 1000
@@ -184,15 +188,15 @@
 	}
 	row := slices.Repeat([]float64{-1}, len(c.columns))
 	for name, x := range m {
-		column := settings.Column(name)
+		column := settings.LoadMetric(name)
 		i := slices.Index(c.columns, column)
 		if i < 0 {
 			continue
 		}
-		if figure(name, &x) != nil || column == "busy" && x > busyMost {
+		if figure(name, &x) != nil || column == assign.MetricBusy && x > busyMost {
 			return nil
 		}
-		row[i] = settings.Figure(column, x)
+		row[i] = settings.LoadValue(column, x)
 	}
 	if slices.Contains(row, -1) {
 		return nil
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -13,8 +13,15 @@
 	"madderhollow/assign"
 )
 
-var codec = NewCodec(assign.Settings{"load.columns": []string{"busy", "held"}, "zones": []string{"a", "b"}, "proxies": 6.0,
-	"kind.name": []string{"read", "sign"}, "kind.timeout": []float64{3, 4}, "reports.every": 1.0}, time.UnixMilli(1_000_000))
+var codec = NewCodec(assign.Config{
+	Zones:      []string{"a", "b"},
+	ProxyCount: 6,
+	RequestClasses: []assign.RequestClassConfig{
+		{Name: "read", Deadline: 3},
+		{Name: "sign", Deadline: 4},
+	},
+	Reports: assign.ReportConfig{Interval: 1, LoadMetrics: []assign.LoadMetric{assign.MetricBusy, assign.MetricInFlight}},
+}, time.UnixMilli(1_000_000))
 
 func TestLines(t *testing.T) {
 	for line, want := range map[string]any{
--- a/internal/wire/zones_test.go
+++ b/internal/wire/zones_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"madderhollow/assign"
+	"madderhollow/internal/testconfig"
 )
 
 // A deployment without zones names none in its messages; where there are zones, a message without one cannot be used.
@@ -22,12 +23,12 @@
 		{[]string{""}, `{"@type":"collector","locality":""}`, true},
 		{nil, `{"@type":"heard","endpoint":"s","total":1,"errors":0,"rtt":5,"interval":1000}`, true},
 	} {
-		codec := NewCodec(assign.Settings{"zones": c.zones}, time.Now())
+		codec := NewCodec(testconfig.New(c.zones, 1), time.Now())
 		if _, err := codec.Line([]byte(c.line)); (err == nil) != c.usable {
 			t.Errorf("zones %q: %s: %v", c.zones, c.line, err)
 		}
 	}
-	if _, err := NewCodec(assign.Settings{}, time.Now()).News("joined", "node=1&w=2&cold=1"); err != nil {
+	if _, err := NewCodec(assign.DefaultConfig(), time.Now()).News("joined", "node=1&w=2&cold=1"); err != nil {
 		t.Error(err)
 	}
 }
@@ -40,7 +41,9 @@
 		interval int
 		usable   bool
 	}{{120, 24386, true}, {120, 60000, true}, {120, 700000, false}, {0, 24386, false}, {50000, 24386, false}} {
-		codec := NewCodec(assign.Settings{"kind.name": []string{"a", "b", "c"}, "proxies": 2400.0, "reports.every": 1.0, "reports.limit": c.limit}, time.Now())
+		config := testconfig.New(nil, 2400, "a", "b", "c")
+		config.Reports.Interval, config.Reports.MaxPerSecond = 1, c.limit
+		codec := NewCodec(config, time.Now())
 		line := fmt.Sprintf(`{"@type":"usage","node":7,"route":"b","total":30,"errors":0,"interval":%d}`, c.interval)
 		if _, err := codec.Line([]byte(line)); (err == nil) != c.usable {
 			t.Errorf("%g lines a second, an interval of %d ms: %v", c.limit, c.interval, err)
