The exchange's six jobs become types of their own; the host is the event loop

Now internal/eventqueue holds what waits for the module and internal/orderqueue what goes to the relay, each part a small type without a lock of its own: pendingQueue, acknowledgmentLedger, ambiguityWait, messageBudget, directory. The states of a call are drawn in the package comment, and what becomes of one is said by name (NotTaken, PartlyTaken, Ambiguous) instead of by two arguments. internal/eventloop (host before) knows neither queue: it is given channels and functions; its timers are a type of their own. Counters keep their names on the status page.

--- a/cmd/madderhollow/main.go
+++ b/cmd/madderhollow/main.go
@@ -24,10 +24,11 @@
 	"madderhollow/internal/backoff"
 	"madderhollow/internal/config"
 	"madderhollow/internal/discovery"
-	"madderhollow/internal/exchange"
-	"madderhollow/internal/host"
+	"madderhollow/internal/eventloop"
+	"madderhollow/internal/eventqueue"
 	"madderhollow/internal/intake"
 	"madderhollow/internal/moving"
+	"madderhollow/internal/orderqueue"
 	"madderhollow/internal/peer"
 	"madderhollow/internal/relay"
 	"madderhollow/internal/reload"
@@ -86,7 +87,7 @@
 // serve wires the parts and runs them until the context ends.
 func serve(ctx context.Context, cfg *config.Config, hup <-chan os.Signal, page string, logs io.Writer) (err error) {
 	began := time.Now()
-	codec := wire.NewCodec(cfg.Settings, began.Add(-time.Duration(host.Start*float64(time.Second))))
+	codec := wire.NewCodec(cfg.Settings, began.Add(-time.Duration(eventloop.ClockStart*float64(time.Second))))
 	known, err := codec.Listed(cfg.Known)
 	if err != nil {
 		return fmt.Errorf("configuration: known: %w", err)
@@ -104,41 +105,43 @@
 		return err
 	}
 	defer l.Close()
-	x := exchange.New(cfg.Settings, codec, log)
+	events := eventqueue.New()
+	orders := orderqueue.New(cfg.Settings.Channel, codec, log)
 	agentAt, relayAt := moving.At(cfg.Discovery), moving.At(cfg.Relay)
-	watch := discovery.New(agentAt, known.Version, codec, x.Post, cfg.MemoryMB, chance.Int63(), log)
-	calls := relay.NewCaller(relayAt, x, chance.Int63(), log)
-	news := relay.NewReader(relayAt, codec, x.Post, chance.Int63(), log)
-	server := intake.New(codec, x.Report, cfg.Sockets, cfg.MemoryMB, log)
-	ports := host.Ports{Follow: watch.Follow, Fetch: watch.Fetch, Tell: func(int, []byte) {}}
+	watch := discovery.New(agentAt, known.Version, codec, events.Post, cfg.MemoryMB, chance.Int63(), log)
+	calls := relay.NewCaller(relayAt, orders, chance.Int63(), log)
+	news := relay.NewReader(relayAt, codec, events.Post, chance.Int63(), log)
+	server := intake.New(codec, events.Report, cfg.Sockets, cfg.MemoryMB, log)
+	inputs := eventloop.Inputs{Events: events.Events(), Reports: events.Reports(), Observe: orders.Observe}
+	outputs := eventloop.Outputs{Submit: orders.Submit, WatchEndpoints: watch.Follow, FetchEndpoints: watch.Fetch, SendPeerMessage: func(int, []byte) {}}
 	decided, end := context.WithCancel(context.WithoutCancel(ctx)) // when the module gives no more orders
 	defer end()
 	parts := []func(context.Context){watch.Run, news.Run, func(context.Context) { calls.Run(decided) },
 		func(ctx context.Context) { reload.Run(ctx, hup, cfg.Path, agentAt, relayAt, log) }}
 	if cfg.MayTell() {
-		peers, err := peer.Open(cfg.PeerListen, cfg.PeersAll, cfg.Peers, x.Post, log)
+		peers, err := peer.Open(cfg.PeerListen, cfg.PeersAll, cfg.Peers, events.Post, log)
 		if err != nil {
 			return err
 		}
-		ports.Tell = peers.Tell
+		outputs.SendPeerMessage = peers.Tell
 		parts = append(parts, peers.Run)
 	}
+	loop := eventloop.New(cfg.Seed, cfg.Settings, inputs, outputs, began, log)
 	if page != "" {
 		seed := chance.Int63()
 		parts = append(parts, func(ctx context.Context) {
 			p, err := listen(ctx, page, seed, log)
 			if err == nil {
-				err = status.Serve(ctx, p, func() map[string]any { return counters(x.Look(), server.Look()) })
+				err = status.Serve(ctx, p, func() map[string]any { return counters(loop.Stats(), orders.Stats(), server.Look(), events.Dropped()) })
 			}
 			if err != nil && ctx.Err() == nil {
 				log.Error().Err(err).Msg("status page ended")
 			}
 		})
 	}
-	h := host.New(cfg.Seed, cfg.Settings, x, ports, began, log)
 	ready := make(chan struct{})
 	parts = append(parts,
-		func(ctx context.Context) { defer end(); h.Run(ctx, []assign.Event{known}, func() { close(ready) }) },
+		func(ctx context.Context) { defer end(); loop.Run(ctx, []assign.Event{known}, func() { close(ready) }) },
 		func(ctx context.Context) { <-ready; server.Serve(ctx, l) })
 	log.Info().Int("tasks", len(known.Endpoints)).Int("version", known.Version).Msg("started")
 	var wg sync.WaitGroup
@@ -147,7 +150,7 @@
 		go func() { defer wg.Done(); run(ctx) }()
 	}
 	wg.Wait()
-	log.Info().Fields(counters(x.Look(), server.Look())).Msg("ended")
+	log.Info().Fields(counters(loop.Stats(), orders.Stats(), server.Look(), events.Dropped())).Msg("ended")
 	return nil
 }
 
@@ -166,11 +169,11 @@
 	}
 }
 
-func counters(c exchange.Counts, in intake.Counts) map[string]any {
+func counters(l eventloop.Stats, c orderqueue.Stats, in intake.Counts, reportsLost int) map[string]any {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return map[string]any{"turns": c.Turns, "events": c.Events, "proxies": c.Proxies, "calls": c.Calls, "calls_again": c.Again,
-		"orders_folded": c.Folded, "reports_lost": c.Lost, "orders_waiting": c.Waiting, "waited_most_ms": c.Waited.Milliseconds(),
+	return map[string]any{"turns": l.Batches, "events": l.Events, "proxies": c.Proxies, "calls": c.Calls, "calls_again": c.Repeated,
+		"orders_folded": c.Coalesced, "reports_lost": reportsLost, "orders_waiting": c.Waiting, "waited_most_ms": c.LongestWait.Milliseconds(),
 		"reports": in.Reports, "lines_spoilt": in.Spoilt, "strangers": in.Strangers,
 		"goroutines": runtime.NumGoroutine(), "heap_kb": m.HeapAlloc >> 10}
 }
--- /dev/null
+++ b/internal/orderqueue/parts_test.go
@@ -0,0 +1,150 @@
+package orderqueue
+
+import (
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"madderhollow/assign"
+)
+
+func pendingOf(orders ...assign.Order) []*pendingOrder {
+	var pending []*pendingOrder
+	for _, order := range orders {
+		pending = append(pending, newPendingOrder(order, "text"))
+	}
+	return pending
+}
+
+func TestPendingQueueCoalesces(t *testing.T) {
+	for name, c := range map[string]struct {
+		orders, want []assign.Order
+	}{
+		"the later of two for one entry": {
+			[]assign.Order{assign.SetWeight{Table: 1, Endpoint: "a", Weight: 1}, assign.SetWeight{Table: 1, Endpoint: "b"}, assign.SetWeight{Table: 1, Endpoint: "a", Weight: 2}},
+			[]assign.Order{assign.SetWeight{Table: 1, Endpoint: "b"}, assign.SetWeight{Table: 1, Endpoint: "a", Weight: 2}}},
+		"other tables and classes stay": {
+			[]assign.Order{assign.SetRateLimit{Table: 1, RequestClasses: []int{1}}, assign.SetRateLimit{Table: 1, RequestClasses: []int{1, 2}}, assign.SetRateLimit{Table: 2, RequestClasses: []int{1}}},
+			[]assign.Order{assign.SetRateLimit{Table: 1, RequestClasses: []int{1}}, assign.SetRateLimit{Table: 1, RequestClasses: []int{1, 2}}, assign.SetRateLimit{Table: 2, RequestClasses: []int{1}}}},
+		"a cleared table's entries and limits": {
+			[]assign.Order{assign.SetWeight{Table: 1, Endpoint: "a", Weight: 1}, assign.SetRateLimit{Table: 1}, assign.SetWeight{Table: 2, Endpoint: "a"}, assign.ClearTable{Table: 1}},
+			[]assign.Order{assign.SetWeight{Table: 2, Endpoint: "a"}, assign.ClearTable{Table: 1}}},
+	} {
+		q := newPendingQueue()
+		q.addAll(pendingOf(c.orders...))
+		var got []assign.Order
+		for _, p := range q.orders {
+			if p != nil {
+				got = append(got, p.order)
+			}
+		}
+		if !reflect.DeepEqual(got, c.want) || q.count() != len(c.want) {
+			t.Errorf("%s: got %v, %d counted", name, got, q.count())
+		}
+	}
+}
+
+// However long the relay is away, a queue stays within the orders that differ.
+func TestPendingQueueStaysSmall(t *testing.T) {
+	q := newPendingQueue()
+	for i := range 100_000 {
+		q.addAll(pendingOf(assign.SetWeight{Table: i % 10, Endpoint: "a", Weight: float64(i)}))
+	}
+	if q.count() != 10 || len(q.orders) > 2*10+maxHoles+1 || q.coalesced != 100_000-10 {
+		t.Errorf("%d orders in %d places, %d coalesced", q.count(), len(q.orders), q.coalesced)
+	}
+}
+
+// An acknowledgment stands for all batches that went out in its call, for the newest call with its number.
+func TestAcknowledgmentStandsForMergedBatches(t *testing.T) {
+	ledger := acknowledgmentLedger{}
+	ledger.sent([]int{1, 2, 7})
+	ledger.sent([]int{3, 7})
+	got := ledger.receive(assign.Acknowledged{Proxy: 5, Sequence: 7, Latency: 1})
+	want := []assign.Event{assign.Acknowledged{Proxy: 5, Sequence: 3, Latency: 1}, assign.Acknowledged{Proxy: 5, Sequence: 7, Latency: 1}}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %v", got)
+	}
+	for i := range 2 * maxSequences {
+		ledger.sent([]int{i, i + 1})
+		ledger.receive(assign.Acknowledged{Sequence: i})
+	}
+	if len(ledger.merged) != maxSequences || len(ledger.received) != maxSequences {
+		t.Errorf("%d merged, %d received are kept", len(ledger.merged), len(ledger.received))
+	}
+}
+
+// Sequence numbers that are asked for again come before newer ones, each once.
+func TestRequestAgainKeepsTheOrder(t *testing.T) {
+	ledger := acknowledgmentLedger{requested: []int{5, 6}}
+	ledger.requestAgain([]int{4, 5}, true, true)
+	if !slices.Equal(ledger.requested, []int{4, 5, 6}) || !ledger.allProxies || ledger.shared {
+		t.Errorf("got %+v", ledger)
+	}
+}
+
+// Each ambiguous call of a row waits twice as long as the one before, up to a bound; after a quiet second it starts over.
+func TestAmbiguityWaitDoublesInARow(t *testing.T) {
+	wait, now := newAmbiguityWait(100*time.Millisecond), time.Now()
+	for _, want := range []time.Duration{100, 200, 400, 480, 480} {
+		wait.begin(now)
+		if got := wait.remaining(now); got != want*time.Millisecond {
+			t.Errorf("waits %v, want %d ms", got, want)
+		}
+		now = wait.until
+	}
+	now = now.Add(ambiguityRow + time.Millisecond)
+	if wait.begin(now); wait.remaining(now) != 100*time.Millisecond {
+		t.Errorf("starts over with %v", wait.remaining(now))
+	}
+	if wait.end(now); wait.remaining(now) != 0 {
+		t.Errorf("still waits %v", wait.remaining(now))
+	}
+	if short := newAmbiguityWait(0); short.first != minAmbiguityWait {
+		t.Errorf("without a stated transit it waits %v", short.first)
+	}
+}
+
+// A call counts once for each proxy, until it is out of the window or given back untaken.
+func TestMessageBudget(t *testing.T) {
+	budget, r, now := messageBudget{limit: 2, window: time.Second}, &recipient{}, time.Now()
+	for number := 1; number <= 2; number++ {
+		call := sentCall{number: number, at: now.Add(time.Duration(number) * time.Millisecond)}
+		call.count(r)
+		call.count(r)
+		budget.spend(call)
+	}
+	if r.messages != 2 || !budget.exhausted(r) {
+		t.Errorf("%d messages", r.messages)
+	}
+	if budget.refund(2); r.messages != 1 || budget.exhausted(r) {
+		t.Errorf("%d messages after a refund", r.messages)
+	}
+	if budget.expire(now.Add(time.Second)); r.messages != 1 {
+		t.Errorf("%d messages within the window", r.messages)
+	}
+	if budget.expire(now.Add(2 * time.Second)); r.messages != 0 || len(budget.recent) != 0 {
+		t.Errorf("%d messages after the window", r.messages)
+	}
+}
+
+// A table's users are those that may use it for any class.
+func TestDirectoryKnowsTheUsersOfATable(t *testing.T) {
+	d := newDirectory()
+	d.connect(assign.ProxyConnected{Proxy: 1})
+	r := d.connected[1]
+	d.setTables(r, "0,", 3)
+	d.setTables(r, "1,", 3, 4)
+	d.setTables(r, "1,", 4)
+	users := func(table int) (n int) {
+		d.forEachReached(assign.ClearTable{Table: table}, func(*recipient) { n++ })
+		return n
+	}
+	if users(3) != 1 || users(4) != 1 || users(assign.AllProxies) != 1 || users(5) != 0 {
+		t.Errorf("got %d, %d, %d, %d", users(3), users(4), users(assign.AllProxies), users(5))
+	}
+	if d.disconnect(1); users(3) != 0 || users(4) != 0 || len(d.users) != 0 {
+		t.Errorf("after the disconnect: %v", d.users)
+	}
+}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -18,8 +18,8 @@
 	"github.com/rs/zerolog"
 
 	"madderhollow/internal/backoff"
-	"madderhollow/internal/exchange"
 	"madderhollow/internal/moving"
+	"madderhollow/internal/orderqueue"
 	"madderhollow/internal/wire"
 )
 
@@ -53,7 +53,7 @@
 // Caller sends what waits in the exchange, one call after another. It owns one connection.
 type Caller struct {
 	address *moving.Address
-	x       *exchange.Exchange
+	x       *orderqueue.Queue
 	log     zerolog.Logger
 	pauses  backoff.Pauses
 	conn    net.Conn // nil: none
@@ -64,7 +64,7 @@
 }
 
 // NewCaller makes a caller to a relay.
-func NewCaller(address *moving.Address, x *exchange.Exchange, seed int64, log zerolog.Logger) *Caller {
+func NewCaller(address *moving.Address, x *orderqueue.Queue, seed int64, log zerolog.Logger) *Caller {
 	return &Caller{address: address, x: x, log: log,
 		pauses: backoff.Pauses{First: againFirst, Most: againMost, Rng: rand.New(rand.NewSource(seed))}}
 }
@@ -80,7 +80,7 @@
 		call, err := c.x.Take(till)
 		if err != nil {
 			var ok bool
-			if call, ok = c.x.Now(); !ok || ctx.Err() != nil {
+			if call, ok = c.x.TryTake(); !ok || ctx.Err() != nil {
 				return
 			}
 		}
@@ -94,7 +94,11 @@
 				t.SetLinger(0)
 			}
 			c.hangUp()
-			c.x.Return(call, 0, sent)
+			if sent {
+				c.x.Ambiguous(call)
+			} else {
+				c.x.NotTaken(call)
+			}
 			c.log.Warn().Err(err).Bool("sent", sent).Int("orders", len(call.Orders)).Msg("relay: call in doubt, repeated")
 			if !sent { // else the exchange waits for its receipt
 				c.pauses.Wait(ctx)
@@ -105,13 +109,13 @@
 			c.log.Error().Int("orders", len(call.Orders)).Str("start", start[:min(len(start), startLogged)]).
 				Msg("relay: call not understood")
 			if unread++; unread < syntaxMost {
-				c.x.Return(call, 0, false)
+				c.x.NotTaken(call)
 				backoff.Sleep(ctx, busyAgain)
 				continue
 			}
 		case answer.Code != "":
 			c.log.Info().Str("code", answer.Code).Msg("relay: call put off")
-			c.x.Return(call, 0, false)
+			c.x.NotTaken(call)
 			backoff.Sleep(ctx, busyAgain)
 			continue
 		case answer.Taken < len(call.Orders):
@@ -123,7 +127,7 @@
 				order, from = "", from+1
 			}
 			refused = order
-			c.x.Return(call, from, false)
+			c.x.PartlyTaken(call, from)
 			continue
 		}
 		refused, unread = "", 0
@@ -182,7 +186,7 @@
 }
 
 // call sends one call. Sent: all its bytes went out, so that after an error it is in doubt.
-func (c *Caller) call(ctx context.Context, call exchange.Call) (a wire.Answer, sent bool, err error) {
+func (c *Caller) call(ctx context.Context, call orderqueue.Call) (a wire.Answer, sent bool, err error) {
 	if err := c.connect(ctx); err != nil {
 		return a, false, err
 	}
--- a/internal/relay/crossing_test.go
+++ b/internal/relay/crossing_test.go
@@ -30,7 +30,7 @@
 	b := newBench(t, 1)
 	defer b.end()
 	for i, task := range []string{"a", "b", "c"} {
-		b.x.Order(line(task, i))
+		b.x.Submit(line(task, i))
 		if !standin.Until(soon, func() bool { return b.calls() == i+1 }) {
 			t.Fatalf("call %d did not come", i)
 		}
@@ -38,7 +38,7 @@
 			t.Fatal("no connection stands idle")
 		}
 	}
-	if n := b.x.Look().Again; n > 0 || !b.has("a", "b", "c") {
+	if n := b.x.Stats().Repeated; n > 0 || !b.has("a", "b", "c") {
 		t.Errorf("%d calls were made again", n)
 	}
 }
@@ -54,14 +54,14 @@
 			return standin.Fine
 		}
 	})
-	b.x.Order(line("a", 1))
+	b.x.Submit(line("a", 1))
 	<-calls
-	b.x.Order(line("b", 2))
+	b.x.Submit(line("b", 2))
 	b.stop()
 	close(goOn)
 	b.wg.Wait()
 	defer b.Close()
-	if n := b.x.Look(); n.Again > 0 || n.Waiting > 0 || !b.has("a", "b") {
+	if n := b.x.Stats(); n.Repeated > 0 || n.Waiting > 0 || !b.has("a", "b") {
 		t.Errorf("%+v", n)
 	}
 	b.Look(func() {
@@ -80,9 +80,9 @@
 		b.Look(func() {
 			b.OnCall = func([]string) standin.Break { calls <- struct{}{}; return how }
 		})
-		b.x.Order(line("a", 1))
+		b.x.Submit(line("a", 1))
 		<-calls
-		b.x.Order(line("b", 2))
+		b.x.Submit(line("b", 2))
 		began := time.Now()
 		b.stop()
 		b.wg.Wait()
@@ -112,7 +112,7 @@
 			return standin.Fine
 		}
 	})
-	b.x.Order([]assign.Order{assign.AttachTable{Proxy: 3, Table: 1}, assign.AttachTable{Proxy: 4, Table: 2}, assign.SetWeight{Table: 1, Endpoint: "a", Weight: 1},
+	b.x.Submit([]assign.Order{assign.AttachTable{Proxy: 3, Table: 1}, assign.AttachTable{Proxy: 4, Table: 2}, assign.SetWeight{Table: 1, Endpoint: "a", Weight: 1},
 		assign.SetWeight{Table: 2, Endpoint: "a", Weight: 1}, assign.AcknowledgmentRequest{Sequence: 5}})
 	<-calls
 	b.Leave(3)
@@ -125,7 +125,7 @@
 	if got := b.heard(2); len(got) < 2 {
 		t.Errorf("receipts %+v", got)
 	}
-	b.x.Order(line("b", 6))
+	b.x.Submit(line("b", 6))
 	if !standin.Until(soon, func() bool { return b.has("a", "b") }) {
 		t.Error("the next order did not come")
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -16,8 +16,8 @@
 	"github.com/rs/zerolog"
 
 	"madderhollow/assign"
-	"madderhollow/internal/exchange"
 	"madderhollow/internal/moving"
+	"madderhollow/internal/orderqueue"
 	"madderhollow/internal/standin"
 	"madderhollow/internal/testconfig"
 	"madderhollow/internal/wire"
@@ -48,7 +48,7 @@
 type bench struct {
 	*standin.Relay
 	at   *moving.Address
-	x    *exchange.Exchange
+	x    *orderqueue.Queue
 	mu   sync.Mutex
 	told []assign.Event
 	wg   sync.WaitGroup
@@ -67,13 +67,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &bench{Relay: r, at: moving.At(r.Address()), x: exchange.New(limits, codec, zerolog.Nop())}
+	b := &bench{Relay: r, at: moving.At(r.Address()), x: orderqueue.New(limits.Channel, codec, zerolog.Nop())}
 	ctx, stop := context.WithCancel(context.Background())
 	b.stop = stop
 	sink := func(_ context.Context, e assign.Event) error {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.told = append(b.told, b.x.Told([]assign.Event{e})...)
+		b.told = append(b.told, b.x.Observe([]assign.Event{e})...)
 		return nil
 	}
 	calls := NewCaller(b.at, b.x, seed, zerolog.Nop())
@@ -155,7 +155,7 @@
 					orders = append(orders, assign.SetWeight{Table: table, Endpoint: task, Weight: float64(i + 1)})
 				}
 			}
-			b.x.Order(append(orders, assign.AcknowledgmentRequest{Sequence: i}))
+			b.x.Submit(append(orders, assign.AcknowledgmentRequest{Sequence: i}))
 			if rng.Intn(2) == 0 {
 				n := b.calls()
 				standin.Until(50*time.Millisecond, func() bool { return b.calls() > n })
@@ -164,7 +164,7 @@
 		mu.Lock()
 		odds = 0
 		mu.Unlock()
-		b.x.Order([]assign.Order{assign.EjectEndpoint{Endpoint: "last", Ejected: true}, assign.AcknowledgmentRequest{Sequence: turns}})
+		b.x.Submit([]assign.Order{assign.EjectEndpoint{Endpoint: "last", Ejected: true}, assign.AcknowledgmentRequest{Sequence: turns}})
 		same := standin.Until(soon, func() (ok bool) {
 			b.Look(func() {
 				maps.DeleteFunc(b.Tables, func(_ int, l map[string]float64) bool { return len(l) == 0 })
@@ -203,7 +203,7 @@
 			return standin.Fine
 		}
 	})
-	b.x.Order([]assign.Order{assign.SetWeight{Table: 1, Endpoint: "a", Weight: 1}, assign.SetWeight{Table: 1, Endpoint: "b", Weight: 1},
+	b.x.Submit([]assign.Order{assign.SetWeight{Table: 1, Endpoint: "a", Weight: 1}, assign.SetWeight{Table: 1, Endpoint: "b", Weight: 1},
 		assign.SetWeight{Table: 1, Endpoint: "c", Weight: 1}, assign.AttachTable{Proxy: 3, Table: 1}, assign.AttachTable{Proxy: 5, Table: 1},
 		assign.SetWeight{Table: 1, Endpoint: "d", Weight: 1}, assign.AcknowledgmentRequest{Sequence: 1}})
 	if got := b.heard(1); !reflect.DeepEqual(got, []assign.Event{assign.Acknowledged{Proxy: 3, Sequence: 1, Latency: 0.0015}}) {
@@ -233,7 +233,7 @@
 	}
 	b.Look(func() { b.OnCall = onCall })
 	for i := range 30 {
-		b.x.Order([]assign.Order{assign.ClearTable{Table: 1}, assign.SetWeight{Table: 1, Endpoint: "t", Weight: float64(i + 1)},
+		b.x.Submit([]assign.Order{assign.ClearTable{Table: 1}, assign.SetWeight{Table: 1, Endpoint: "t", Weight: float64(i + 1)},
 			assign.AttachTable{Proxy: 3, Table: 1}, assign.AcknowledgmentRequest{Sequence: i}})
 	}
 	close(away)
@@ -267,7 +267,7 @@
 		b.Join(i, "a", 2, true)
 	}
 	b.heard(3)
-	b.x.Order([]assign.Order{assign.SetWeight{Table: 5, Endpoint: "t", Weight: 1}, assign.AttachTable{Proxy: 1, Table: 5}, assign.AcknowledgmentRequest{Sequence: 9}})
+	b.x.Submit([]assign.Order{assign.SetWeight{Table: 5, Endpoint: "t", Weight: 1}, assign.AttachTable{Proxy: 1, Table: 5}, assign.AcknowledgmentRequest{Sequence: 9}})
 	if got := b.heard(1); !reflect.DeepEqual(got, []assign.Event{assign.Acknowledged{Proxy: 1, Sequence: 9, Latency: 0.0015}}) {
 		t.Fatalf("got %+v", got)
 	}
@@ -311,27 +311,27 @@
 
 // A binding that waits or fails while its proxy comes anew is not made up for: the module orders another.
 func TestStaleBindingsAreForgotten(t *testing.T) {
-	x := exchange.New(limits, codec, zerolog.Nop())
+	x := orderqueue.New(limits.Channel, codec, zerolog.Nop())
 	order := []assign.Order{assign.SetWeight{Table: 1, Endpoint: "t", Weight: 1}, assign.AttachTable{Proxy: 3, Table: 1}, assign.AcknowledgmentRequest{Sequence: 1}}
-	x.Order(order)
-	x.Told([]assign.Event{assign.ProxyDisconnected{Proxy: 3}})
+	x.Submit(order)
+	x.Observe([]assign.Event{assign.ProxyDisconnected{Proxy: 3}})
 	c, err := x.Take(t.Context())
 	if want := []string{"put,1,t,1", "fence,1,0"}; err != nil || !reflect.DeepEqual(c.Orders, want) {
 		t.Errorf("waiting: got %v, want %v", c.Orders, want)
 	}
-	x.Order(order)
+	x.Submit(order)
 	c, _ = x.Take(t.Context())
-	if got := x.Told([]assign.Event{assign.ProxyDisconnected{Proxy: 3}, assign.ProxyConnected{Proxy: 3, Fresh: true}}); got[1].(assign.ProxyConnected).Fresh {
+	if got := x.Observe([]assign.Event{assign.ProxyDisconnected{Proxy: 3}, assign.ProxyConnected{Proxy: 3, Fresh: true}}); got[1].(assign.ProxyConnected).Fresh {
 		t.Error("in flight: the new stream may have got the binding")
 	}
-	x.Return(c, 0, true)
+	x.Ambiguous(c)
 	if c, _ = x.Take(t.Context()); !reflect.DeepEqual(c.Orders, []string{"put,1,t,1", "fence,1,0"}) {
 		t.Errorf("in flight: got %v", c.Orders)
 	}
 	// The receipt of a call in doubt: it was carried out and is not repeated.
-	x.Return(c, 0, true)
-	x.Told([]assign.Event{assign.Acknowledged{Proxy: 3, Sequence: 1}})
-	x.Order([]assign.Order{assign.ClearTable{Table: 2}})
+	x.Ambiguous(c)
+	x.Observe([]assign.Event{assign.Acknowledged{Proxy: 3, Sequence: 1}})
+	x.Submit([]assign.Order{assign.ClearTable{Table: 2}})
 	if c, _ = x.Take(t.Context()); !reflect.DeepEqual(c.Orders, []string{"wipe,2", "fence,1,0"}) {
 		t.Errorf("in doubt: got %v", c.Orders)
 	}
@@ -339,12 +339,12 @@
 
 // What fits no call is split between orders; a receipt of the first part says nothing of the second.
 func TestLongTurnsAreSplit(t *testing.T) {
-	x := exchange.New(limits, codec, zerolog.Nop())
+	x := orderqueue.New(limits.Channel, codec, zerolog.Nop())
 	var orders []assign.Order
 	for i := range 4000 {
 		orders = append(orders, assign.SetWeight{Table: i % 50, Endpoint: fmt.Sprint("task-", i), Weight: 1})
 	}
-	x.Order(append(orders, assign.AcknowledgmentRequest{Sequence: 7}))
+	x.Submit(append(orders, assign.AcknowledgmentRequest{Sequence: 7}))
 	var got []string
 	for parts := 0; len(got) < len(orders); parts++ {
 		c, err := x.Take(t.Context())
@@ -352,8 +352,8 @@
 			t.Fatalf("%d bytes, %v, %v", len(wire.Call(c.Orders)), c.Orders[len(c.Orders)-1], err)
 		}
 		if parts == 1 { // in doubt
-			x.Return(c, 0, true)
-			x.Told([]assign.Event{assign.Acknowledged{Proxy: 1, Sequence: 7}})
+			x.Ambiguous(c)
+			x.Observe([]assign.Event{assign.Acknowledged{Proxy: 1, Sequence: 7}})
 			c, _ = x.Take(t.Context())
 		}
 		got = append(got, c.Orders[:len(c.Orders)-1]...)
@@ -387,7 +387,7 @@
 			b.at.Move(b.Address())
 			for range 3 {
 				orders++
-				b.x.Order([]assign.Order{assign.SetWeight{Table: 1, Endpoint: fmt.Sprint("t", orders), Weight: 1}, assign.AcknowledgmentRequest{Sequence: orders}})
+				b.x.Submit([]assign.Order{assign.SetWeight{Table: 1, Endpoint: fmt.Sprint("t", orders), Weight: 1}, assign.AcknowledgmentRequest{Sequence: orders}})
 				node := 6 + rng.Intn(2)
 				if joined[node] = !joined[node]; joined[node] {
 					b.Join(node, "b", 1, true)
@@ -429,8 +429,8 @@
 func TestEndsWithoutARelay(t *testing.T) {
 	b := newBench(t, 1)
 	b.Close()
-	b.x.Order([]assign.Order{assign.ClearTable{Table: 1}, assign.AcknowledgmentRequest{Sequence: 1}})
-	if !standin.Until(soon, func() bool { return b.x.Look().Again > 1 }) {
+	b.x.Submit([]assign.Order{assign.ClearTable{Table: 1}, assign.AcknowledgmentRequest{Sequence: 1}})
+	if !standin.Until(soon, func() bool { return b.x.Stats().Repeated > 1 }) {
 		t.Error("no call was tried again")
 	}
 	ended := make(chan struct{})
@@ -444,9 +444,9 @@
 
 // Calls that never went out count for nothing: when the relay is back, what waits goes out at once.
 func TestCallsThatNeverWentOutAreNotCounted(t *testing.T) {
-	x := exchange.New(limits, codec, zerolog.Nop())
-	x.Told([]assign.Event{assign.ProxyConnected{Proxy: 3}})
-	x.Order([]assign.Order{assign.AttachTable{Proxy: 3, Table: 1}, assign.AcknowledgmentRequest{Sequence: 1}})
+	x := orderqueue.New(limits.Channel, codec, zerolog.Nop())
+	x.Observe([]assign.Event{assign.ProxyConnected{Proxy: 3}})
+	x.Submit([]assign.Order{assign.AttachTable{Proxy: 3, Table: 1}, assign.AcknowledgmentRequest{Sequence: 1}})
 	for range 2 * most {
 		ctx, stop := context.WithTimeout(t.Context(), span/2)
 		c, err := x.Take(ctx)
@@ -454,6 +454,6 @@
 		if err != nil {
 			t.Fatal("orders are held back")
 		}
-		x.Return(c, 0, false)
+		x.NotTaken(c)
 	}
 }
