--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -89,24 +89,24 @@
 
 // dispatch turns an event into messages to the records that it concerns.
 func (a *Assigner) dispatch(event Event) {
-	switch e := event.(type) {
+	switch record := event.(type) {
 	case EndpointUpdate:
-		a.updateEndpoints(e)
+		a.updateEndpoints(record)
 		a.send(recomputeRequested{})
 	case EndpointLoadReport:
-		if endpoint := a.endpoints[e.Endpoint]; endpoint != nil {
-			a.send(loadReported{endpoint, e})
+		if endpoint := a.endpoints[record.Endpoint]; endpoint != nil {
+			a.send(loadReported{endpoint, record})
 		}
 	case ProxyConnected:
-		proxy := a.proxy(e.Proxy)
-		a.send(proxyConnected{proxy, e})
+		proxy := a.proxy(record.Proxy)
+		a.send(proxyConnected{proxy, record})
 		a.send(recomputeRequested{proxy})
 	case ProxyTrafficReport:
-		a.send(trafficReported{a.proxy(e.Proxy), e})
+		a.send(trafficReported{a.proxy(record.Proxy), record})
 	case ProxyDisconnected:
-		a.send(proxyDisconnected{a.proxy(e.Proxy)})
+		a.send(proxyDisconnected{a.proxy(record.Proxy)})
 	case Acknowledged:
-		a.send(acknowledged{a.proxy(e.Proxy), e.Sequence})
+		a.send(acknowledged{a.proxy(record.Proxy), record.Sequence})
 	case TimerFired:
 		// It has done its work by starting a batch.
 	case ShardTrafficReport, ShardAssigned, ShardEntry, HealthCheckResult, PeerMessageReceived:
--- a/assign/digest_test.go
+++ b/assign/digest_test.go
@@ -14,27 +14,30 @@
 
 // digestOrders adds the orders of one batch to a digest. It writes numbers for the order types and leaves out the names
 // of types and members and the texts of log lines, so that renaming changes no digest and any other change does.
-func digestOrders(h hash.Hash, now float64, orders []Order) {
-	bits := func(x float64) uint64 { return math.Float64bits(x) }
-	fmt.Fprintf(h, "batch %x\n", bits(now))
+func digestOrders(digest hash.Hash, now float64, orders []Order) {
+	bits := math.Float64bits
+	write := func(format string, values ...any) {
+		_, _ = fmt.Fprintf(digest, format, values...) // a hash never fails
+	}
+	write("batch %x\n", bits(now))
 	for _, order := range orders {
-		switch o := order.(type) {
+		switch order := order.(type) {
 		case SetWeight:
-			fmt.Fprintf(h, "1 %d %q %x\n", o.Table, o.Endpoint, bits(o.Weight))
+			write("1 %d %q %x\n", order.Table, order.Endpoint, bits(order.Weight))
 		case ClearTable:
-			fmt.Fprintf(h, "2 %d\n", o.Table)
+			write("2 %d\n", order.Table)
 		case AttachTable:
-			fmt.Fprintf(h, "3 %d %d %d\n", o.Proxy, o.Table, o.RequestClasses)
+			write("3 %d %d %d\n", order.Proxy, order.Table, order.RequestClasses)
 		case SetRateLimit:
-			fmt.Fprintf(h, "4 %d %d %x %d\n", o.Table, o.RequestClasses, bits(o.Limit), o.Retries)
+			write("4 %d %d %x %d\n", order.Table, order.RequestClasses, bits(order.Limit), order.Retries)
 		case AcknowledgmentRequest:
-			fmt.Fprintf(h, "5 %d %t\n", o.Sequence, o.AllProxies)
+			write("5 %d %t\n", order.Sequence, order.AllProxies)
 		case SetTimer:
-			fmt.Fprintf(h, "6 %x %d\n", bits(o.Delay), o.ID)
+			write("6 %x %d\n", bits(order.Delay), order.ID)
 		case WatchEndpoints:
-			fmt.Fprintf(h, "7 %t\n", o.Enabled)
+			write("7 %t\n", order.Enabled)
 		case Log:
-			fmt.Fprintf(h, "8\n")
+			write("8\n")
 		default:
 			panic(fmt.Sprintf("no digest for %T", order))
 		}
@@ -44,25 +47,25 @@
 // playZonesDay reports busy endpoints in one zone, quick failures at idle endpoints, and then idle ones that answer.
 func playZonesDay(t *testing.T) *model {
 	t.Helper()
-	m := calmModel(t)
+	sim := calmModel(t)
 	phases := []struct {
 		busyLocal, busyRemote float64
 		failed                int
 	}{{0.95, 0.3, 0}, {0.6, 0.3, 0}, {0.3, 0.3, 6}, {0.3, 0.3, 0}}
 	for _, phase := range phases {
 		for range 15 {
-			for _, e := range m.endpoints {
+			for _, e := range sim.endpoints {
 				busy := phase.busyRemote
 				if e.Zone == "x" {
 					busy = phase.busyLocal
 				}
-				m.step(0, EndpointLoadReport{Zone: e.Zone, Endpoint: e.Name, Interval: 1, MeanLatency: 0.1, Attempts: 9,
+				sim.step(0, EndpointLoadReport{Zone: e.Zone, Endpoint: e.Name, Interval: 1, MeanLatency: 0.1, Attempts: 9,
 					Failed: phase.failed, Load: []float64{busy}})
 			}
-			m.step(0.8)
+			sim.step(0.8)
 		}
 	}
-	return m
+	return sim
 }
 
 // playOverloadDay brings a wide overload and its end.
--- a/assign/health.go
+++ b/assign/health.go
@@ -32,18 +32,18 @@
 	if e := a.endpoints[entry.Name]; e != nil {
 		return e
 	}
-	e := &endpoint{
+	record := &endpoint{
 		name:         entry.Name,
 		state:        Removed, // until the entry is handled
 		lastListedAt: a.now,
 		dealOrder:    a.random.ExpFloat64() / math.Max(entry.Weight, minDivisor),
 	}
 	if firstUpdate {
-		e.lastAnsweredAt = a.now
+		record.lastAnsweredAt = a.now
 	}
-	a.endpoints[e.name] = e
-	a.endpointList = append(a.endpointList, e)
-	return e
+	a.endpoints[record.name] = record
+	a.endpointList = append(a.endpointList, record)
+	return record
 }
 
 // forgetRemovedEndpoints drops old records. Default tables may hold what is then no longer known.
@@ -60,9 +60,9 @@
 }
 
 // list takes in the endpoint's entry of the list.
-func (e *endpoint) list(a *Assigner, entry Endpoint) {
+func (e *endpoint) list(assigner *Assigner, entry Endpoint) {
 	if entry.State == Removed {
-		a.send(endpointRemoved{e})
+		assigner.send(endpointRemoved{e})
 		return
 	}
 	if entry.StartedAt > 0 && entry.StartedAt != e.startedAt {
@@ -74,24 +74,24 @@
 	e.startedAt = entry.StartedAt
 	e.delisted = false
 	e.listedWeight = cmp.Or(math.Max(entry.Weight, 0), 1)
-	e.lastListedAt = a.now
-	a.zone(e.zone)
+	e.lastListedAt = assigner.now
+	assigner.zone(e.zone)
 }
 
 // remove follows a list that no longer has the endpoint. Where removal is advisory, the list is one source
 // among two and what still answers stays, lest a wrong list take the fleet. It harms a little where a dead
 // endpoint's last answers come late.
-func (e *endpoint) remove(a *Assigner) {
-	e.delisted = e.delisted || a.config.RemovalIsAdvisory && e.state == Ready
-	if !e.delisted || a.now-e.lastAnsweredAt > silenceTimeout {
+func (e *endpoint) remove(assigner *Assigner) {
+	e.delisted = e.delisted || assigner.config.RemovalIsAdvisory && e.state == Ready
+	if !e.delisted || assigner.now-e.lastAnsweredAt > silenceTimeout {
 		e.state = Removed
 	}
 }
 
 // addReport takes in what the proxies of one zone met at the endpoint.
-func (e *endpoint) addReport(a *Assigner, report EndpointLoadReport) {
-	if a.busyColumn >= 0 && a.busyColumn < len(report.Load) {
-		e.busy = report.Load[a.busyColumn]
+func (e *endpoint) addReport(assigner *Assigner, report EndpointLoadReport) {
+	if assigner.busyColumn >= 0 && assigner.busyColumn < len(report.Load) {
+		e.busy = report.Load[assigner.busyColumn]
 	}
 	attempts, failed := float64(report.Attempts), float64(report.Failed)
 	successful := float64(report.Attempts - report.Failed)
@@ -99,10 +99,10 @@
 	health.attempts += attempts
 	health.failed += failed
 	health.latencySum += report.MeanLatency * successful
-	inTime := successful * inTimeCredit(report.MeanLatency, a.lateThreshold())
+	inTime := successful * inTimeCredit(report.MeanLatency, assigner.lateThreshold())
 	e.reported.add(attemptTotals{attempts, failed, inTime})
 	if report.Attempts > report.Failed {
-		e.lastAnsweredAt = a.now
+		e.lastAnsweredAt = assigner.now
 		if e.delisted {
 			e.state = Ready
 		}
@@ -124,29 +124,29 @@
 }
 
 // tick closes the period's totals and assesses the endpoint's health in each zone.
-func (e *endpoint) tick(a *Assigner) {
+func (e *endpoint) tick(assigner *Assigner) {
 	e.lastPeriod = e.reported.perSecond(tickInterval)
 	e.reported = attemptTotals{}
 	if e.delisted {
-		a.send(endpointRemoved{e})
+		assigner.send(endpointRemoved{e})
 	}
 	for _, health := range e.health {
-		health.assess(a)
+		health.assess(assigner)
 	}
 }
 
 // assess sets the failure ratio once there are enough attempts; while it is good the weight comes back.
-func (h *zoneHealth) assess(a *Assigner) {
+func (h *zoneHealth) assess(assigner *Assigner) {
 	if h.attempts < minAttemptsAtLowWeight || h.attempts < minAttempts && h.weight >= lowWeight {
 		return
 	}
 	meanLatency := h.latencySum / math.Max(h.attempts-h.failed, 1)
 	h.failureRatio = h.failed / h.attempts
-	h.late = meanLatency > a.lateThreshold()
-	h.assessedAt = a.now
-	if !h.unhealthy() && a.now >= h.nextChange {
+	h.late = meanLatency > assigner.lateThreshold()
+	h.assessedAt = assigner.now
+	if !h.unhealthy() && assigner.now >= h.nextChange {
 		h.weight = math.Min(1, h.weight+healthWeightGain)
-		h.nextChange = a.now + tickInterval
+		h.nextChange = assigner.now + tickInterval
 	}
 	h.resetAttempts()
 }
@@ -158,29 +158,30 @@
 // noisy neighbour. One that fails and answers late is overloaded, and taking all from it would push the
 // next one over. One that only fails is an outlier, dead or cut off, and goes on probation at once. It
 // harms where the assessing proxies are at fault.
-func (e *endpoint) reduceWeight(a *Assigner, h *zoneHealth) {
-	outlier := h.failureRatio >= failureThreshold && !h.late &&
-		h.failureRatio > outlierFactor*a.split.meanFailureRatio
+func (e *endpoint) reduceWeight(assigner *Assigner, health *zoneHealth) {
+	outlier := health.failureRatio >= failureThreshold && !health.late &&
+		health.failureRatio > outlierFactor*assigner.split.meanFailureRatio
 	switch {
 	case outlier:
-		if h.weight > probationWeight {
-			a.logf("endpoint %s fails %.0f%% for zone %s: on probation", e.name, 100*h.failureRatio, h.zone)
+		if health.weight > probationWeight {
+			percent := 100 * health.failureRatio
+			assigner.logf("endpoint %s fails %.0f%% for zone %s: on probation", e.name, percent, health.zone)
 		}
-		h.weight = probationWeight
-	case a.now >= h.nextChange:
-		h.weight = math.Max(probationWeight, h.weight*healthWeightDecay)
+		health.weight = probationWeight
+	case assigner.now >= health.nextChange:
+		health.weight = math.Max(probationWeight, health.weight*healthWeightDecay)
 	default:
 		return
 	}
-	h.nextChange = a.now + feedbackDelay
+	health.nextChange = assigner.now + feedbackDelay
 }
 
 // unverified tells of an endpoint that came late to the list, claims to have run for long and has never
 // answered, or that fails and has not answered for long. Lists may be wrong: until it answers it is on
 // probation, half by fewer tables, half by lower weights. It harms where an assigner starts from a list
 // that lacks most endpoints.
-func (e *endpoint) unverified(a *Assigner, zone string) bool {
-	if a.now-e.lastAnsweredAt <= silenceTimeout || e.warmFraction(a) != 1 {
+func (e *endpoint) unverified(assigner *Assigner, zone string) bool {
+	if assigner.now-e.lastAnsweredAt <= silenceTimeout || e.warmFraction(assigner) != 1 {
 		return false
 	}
 	return e.lastAnsweredAt == 0 || e.healthIn(zone).failureRatio >= failureThreshold
--- a/assign/health_test.go
+++ b/assign/health_test.go
@@ -16,7 +16,7 @@
 // An endpoint that fails and answers late is overloaded: taking all from it would push the next one over. One that fails
 // without late answers is an outlier; and where all fail alike, none is.
 func TestOverloadedEndpointIsReducedAndOutlierPutOnProbation(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		meanLatency, meanFailureRatio float64
 		failed                        int
 		minWeight, maxWeight          float64
@@ -29,13 +29,13 @@
 		m := calmModel(t)
 		e := m.assigner.endpoints["t0"]
 		health := e.healthIn("x")
-		e.addReport(m.assigner, EndpointLoadReport{Zone: "x", Endpoint: "t0", Interval: 1, MeanLatency: c.meanLatency, Attempts: 40, Failed: c.failed})
+		e.addReport(m.assigner, EndpointLoadReport{Zone: "x", Endpoint: "t0", Interval: 1, MeanLatency: test.meanLatency, Attempts: 40, Failed: test.failed})
 		health.assess(m.assigner)
-		m.assigner.split.meanFailureRatio = c.meanFailureRatio
+		m.assigner.split.meanFailureRatio = test.meanFailureRatio
 		health.nextChange = 0
 		e.reduceWeight(m.assigner, health)
-		if health.weight < c.minWeight || health.weight > c.maxWeight {
-			t.Errorf("%+v: weight %v", c, health.weight)
+		if health.weight < test.minWeight || health.weight > test.maxWeight {
+			t.Errorf("%+v: weight %v", test, health.weight)
 		}
 	}
 }
@@ -43,28 +43,28 @@
 // Where removal is advisory, a list that drops most endpoints takes nothing from the tables while they answer; one that
 // fell silent, or was seen draining, leaves all the same.
 func TestDelistedEndpointsStayWhileTheyAnswer(t *testing.T) {
-	m := calmModel(t)
-	m.config.RemovalIsAdvisory = true
-	m.assigner.config.RemovalIsAdvisory = true
-	m.endpoints[0].failing, m.endpoints[3].State = true, Draining
-	m.update(m.endpoints[3])
-	for _, e := range m.endpoints {
+	sim := calmModel(t)
+	sim.config.RemovalIsAdvisory = true
+	sim.assigner.config.RemovalIsAdvisory = true
+	sim.endpoints[0].failing, sim.endpoints[3].State = true, Draining
+	sim.update(sim.endpoints[3])
+	for _, e := range sim.endpoints {
 		e.State = Removed
 	}
-	m.update(m.endpoints...)
-	for _, e := range m.endpoints {
+	sim.update(sim.endpoints...)
+	for _, e := range sim.endpoints {
 		e.State = Ready // they run all the same
 	}
-	m.run(12, 0.4)
-	for i, e := range m.endpoints {
-		got, want := m.assigner.endpoints[e.Name].state == Ready, i != 0 && i != 3
+	sim.run(12, 0.4)
+	for i, e := range sim.endpoints {
+		got, want := sim.assigner.endpoints[e.Name].state == Ready, i != 0 && i != 3
 		if got != want {
 			t.Errorf("endpoint %d: in tables: %v", i, got)
 		}
 	}
-	m.endpoints[3].StartedAt = m.now - 30
-	m.update(m.endpoints[3])
-	if e := m.assigner.endpoints["t3"]; e.state != Ready || e.delisted {
+	sim.endpoints[3].StartedAt = sim.now - 30
+	sim.update(sim.endpoints[3])
+	if e := sim.assigner.endpoints["t3"]; e.state != Ready || e.delisted {
 		t.Error("an endpoint that the list calls ready again stays out")
 	}
 }
@@ -72,26 +72,26 @@
 // Names that are used once do not pile up, and a proxy that connects later leaves its default table, which may hold an
 // endpoint that nobody here remembers.
 func TestReplacedEndpointsAreForgotten(t *testing.T) {
-	a, now, listed := New(1, modelConfig()), 1000.0, newEndpoints("x", 12)
-	a.Handle(now, []Event{EndpointUpdate{Full: true, Endpoints: listed}, ProxyConnected{Proxy: 1, Zone: "x", TypicalRate: 5, Fresh: true}})
+	assigner, now, listed := New(1, modelConfig()), 1000.0, newEndpoints("x", 12)
+	assigner.Handle(now, []Event{EndpointUpdate{Full: true, Endpoints: listed}, ProxyConnected{Proxy: 1, Zone: "x", TypicalRate: 5, Fresh: true}})
 	for i := range 2000 {
 		now++
 		removed := listed[i%12]
 		removed.State = Removed
 		listed[i%12].Name, listed[i%12].StartedAt = fmt.Sprint("n", i), now-20
-		a.Handle(now, []Event{TimerFired{0}, EndpointUpdate{Endpoints: []Endpoint{removed, listed[i%12]}},
-			Acknowledged{Proxy: 1, Sequence: a.scheduler.sequence}})
-		if len(a.endpointList) > 12+2*endpointRetention || len(a.endpoints) != len(a.endpointList) {
-			t.Fatalf("%d records, %d names of 12 endpoints", len(a.endpointList), len(a.endpoints))
+		assigner.Handle(now, []Event{TimerFired{0}, EndpointUpdate{Endpoints: []Endpoint{removed, listed[i%12]}},
+			Acknowledged{Proxy: 1, Sequence: assigner.scheduler.sequence}})
+		if len(assigner.endpointList) > 12+2*endpointRetention || len(assigner.endpoints) != len(assigner.endpointList) {
+			t.Fatalf("%d records, %d names of 12 endpoints", len(assigner.endpointList), len(assigner.endpoints))
 		}
 	}
-	a.Handle(now+2*endpointRetention, []Event{EndpointUpdate{Full: true, Endpoints: listed}})
+	assigner.Handle(now+2*endpointRetention, []Event{EndpointUpdate{Full: true, Endpoints: listed}})
 	attached := false
-	for _, order := range a.Handle(now+2*endpointRetention+1, []Event{ProxyConnected{Proxy: 2, Zone: "x", TypicalRate: 5, Fresh: true}}) {
+	for _, order := range assigner.Handle(now+2*endpointRetention+1, []Event{ProxyConnected{Proxy: 2, Zone: "x", TypicalRate: 5, Fresh: true}}) {
 		o, ok := order.(AttachTable)
 		attached = attached || ok && o.Proxy == 2
 	}
-	if !attached || len(a.endpointList) != 12 {
-		t.Errorf("%d records; the late proxy keeps its default table: %v", len(a.endpointList), !attached)
+	if !attached || len(assigner.endpointList) != 12 {
+		t.Errorf("%d records; the late proxy keeps its default table: %v", len(assigner.endpointList), !attached)
 	}
 }
--- a/assign/mailbox.go
+++ b/assign/mailbox.go
@@ -34,11 +34,11 @@
 	}
 )
 
-func (m endpointListed) deliver(a *Assigner)    { m.endpoint.list(a, m.entry) }
-func (m endpointRemoved) deliver(a *Assigner)   { m.endpoint.remove(a) }
-func (m loadReported) deliver(a *Assigner)      { m.endpoint.addReport(a, m.report) }
-func (m endpointTick) deliver(a *Assigner)      { m.endpoint.tick(a) }
-func (m unhealthyInPeriod) deliver(a *Assigner) { m.endpoint.reduceWeight(a, m.health) }
+func (m endpointListed) deliver(assigner *Assigner)    { m.endpoint.list(assigner, m.entry) }
+func (m endpointRemoved) deliver(assigner *Assigner)   { m.endpoint.remove(assigner) }
+func (m loadReported) deliver(assigner *Assigner)      { m.endpoint.addReport(assigner, m.report) }
+func (m endpointTick) deliver(assigner *Assigner)      { m.endpoint.tick(assigner) }
+func (m unhealthyInPeriod) deliver(assigner *Assigner) { m.endpoint.reduceWeight(assigner, m.health) }
 
 // Messages to a proxy's record.
 type (
@@ -68,13 +68,13 @@
 	proxySilent struct{ proxy *proxy }
 )
 
-func (m proxyConnected) deliver(a *Assigner)  { m.proxy.connect(a, m.event) }
-func (m proxyDisconnected) deliver(*Assigner) { m.proxy.disconnect() }
-func (m trafficReported) deliver(a *Assigner) { m.proxy.addReport(a, m.report) }
-func (m acknowledged) deliver(*Assigner)      { m.proxy.acknowledge(m.sequence) }
-func (m quotaAssigned) deliver(*Assigner)     { m.proxy.quota, m.proxy.rateLimit = m.quota, m.limit }
-func (m ordersSent) deliver(a *Assigner)      { m.proxy.recordSent(a, m.orders, m.batch) }
-func (m proxySilent) deliver(a *Assigner)     { m.proxy.forgetTraffic(a) }
+func (m proxyConnected) deliver(assigner *Assigner)  { m.proxy.connect(assigner, m.event) }
+func (m proxyDisconnected) deliver(*Assigner)        { m.proxy.disconnect() }
+func (m trafficReported) deliver(assigner *Assigner) { m.proxy.addReport(assigner, m.report) }
+func (m acknowledged) deliver(*Assigner)             { m.proxy.acknowledge(m.sequence) }
+func (m quotaAssigned) deliver(*Assigner)            { m.proxy.quota, m.proxy.rateLimit = m.quota, m.limit }
+func (m ordersSent) deliver(assigner *Assigner)      { m.proxy.recordSent(assigner, m.orders, m.batch) }
+func (m proxySilent) deliver(assigner *Assigner)     { m.proxy.forgetTraffic(assigner) }
 
 // Messages to the rate split and to the order scheduler.
 type (
@@ -85,8 +85,10 @@
 	scheduleOrders     struct{}
 )
 
-func (splitTick) deliver(a *Assigner)            { a.split.tick(a) }
-func (m proxyAdmitted) deliver(a *Assigner)      { a.split.admit(a, m.proxy) }
-func (admissionsComplete) deliver(a *Assigner)   { a.split.shareWithAdmitted(a) }
-func (m recomputeRequested) deliver(a *Assigner) { a.scheduler.request(a, m.proxy) }
-func (scheduleOrders) deliver(a *Assigner)       { a.scheduler.run(a) }
+func (splitTick) deliver(assigner *Assigner)          { assigner.split.tick(assigner) }
+func (m proxyAdmitted) deliver(assigner *Assigner)    { assigner.split.admit(assigner, m.proxy) }
+func (admissionsComplete) deliver(assigner *Assigner) { assigner.split.shareWithAdmitted(assigner) }
+func (m recomputeRequested) deliver(assigner *Assigner) {
+	assigner.scheduler.request(assigner, m.proxy)
+}
+func (scheduleOrders) deliver(assigner *Assigner) { assigner.scheduler.run(assigner) }
--- a/assign/model_rules_test.go
+++ b/assign/model_rules_test.go
@@ -18,18 +18,18 @@
 
 // checkOrder checks what can be told of an order alone.
 func (m *model) checkOrder(order Order) {
-	switch o := order.(type) {
+	switch order := order.(type) {
 	case SetWeight:
-		if o.Weight < 0 || math.IsNaN(o.Weight) {
-			m.fail("weight %v", o.Weight)
+		if order.Weight < 0 || math.IsNaN(order.Weight) {
+			m.fail("weight %v", order.Weight)
 		}
 	case SetRateLimit:
-		if class := m.config.RequestClasses[o.RequestClasses[0]]; o.Retries > 1 && class.RetrySafety != SafeToRetry {
-			m.fail("rule 2: %d retries of class %s", o.Retries, class.Name)
+		if class := m.config.RequestClasses[order.RequestClasses[0]]; order.Retries > 1 && class.RetrySafety != SafeToRetry {
+			m.fail("rule 2: %d retries of class %s", order.Retries, class.Name)
 		}
 	case AttachTable:
-		if !m.proxies[o.Proxy].connected {
-			m.fail("a table attached to %d, which is disconnected", o.Proxy)
+		if !m.proxies[order.Proxy].connected {
+			m.fail("a table attached to %d, which is disconnected", order.Proxy)
 		}
 	}
 }
@@ -94,7 +94,7 @@
 }
 
 // checkPick checks rule 1 where the assigner knows of an endpoint to pick.
-func (m *model) checkPick(p *modelProxy, class int, held map[string]float64, seconds float64) {
+func (m *model) checkPick(proxy *modelProxy, class int, held map[string]float64, seconds float64) {
 	hasPick, couldHave := false, false
 	for _, e := range m.endpoints {
 		hasPick = hasPick || held[e.Name] > 0
@@ -102,19 +102,19 @@
 		usable := record != nil && record.state == Ready && record.warmFraction(m.assigner) == 1
 		couldHave = couldHave || usable && m.allows(class, e.Zone)
 	}
-	p.withoutPick[class] += seconds
+	proxy.withoutPick[class] += seconds
 	if hasPick || !couldHave {
-		p.withoutPick[class] = 0
+		proxy.withoutPick[class] = 0
 	}
-	if p.withoutPick[class] > 3*m.slowness() {
-		m.fail("rule 1: proxy %d has no endpoint to pick for class %d", p.id, class)
+	if proxy.withoutPick[class] > 3*m.slowness() {
+		m.fail("rule 1: proxy %d has no endpoint to pick for class %d", proxy.id, class)
 	}
 }
 
 // checkWarming checks rule 4: a warming endpoint's part of a table against what a table of its zone would give it. What
 // tables should hold changes by the second: only an excess that lasts nearly the overload window counts.
-func (m *model) checkWarming(p *modelProxy, class int, held map[string]float64, seconds float64) {
-	sum, usual, warmLeft := 0.0, m.assigner.zone(p.zone).peakWeight, false
+func (m *model) checkWarming(proxy *modelProxy, class int, held map[string]float64, seconds float64) {
+	sum, usual, warmLeft := 0.0, m.assigner.zone(proxy.zone).peakWeight, false
 	for _, e := range m.endpoints {
 		sum += held[e.Name]
 		warmLeft = warmLeft || held[e.Name] > 0 && m.now-e.StartedAt >= 10
@@ -128,12 +128,12 @@
 		}
 		fraction := record.warmFraction(m.assigner)
 		if fraction < 1 && held[e.Name]/sum > 1.6*fraction*e.Weight/usual {
-			excess = p.overBudget[class] + seconds
+			excess = proxy.overBudget[class] + seconds
 		}
 	}
-	p.overBudget[class] = excess
+	proxy.overBudget[class] = excess
 	allowed := 2.5 * m.slowness()
-	if excess > allowed && m.now-p.connectedAt > allowed {
-		m.fail("rule 4: proxy %d gives too much to warming endpoints: %v", p.id, held)
+	if excess > allowed && m.now-proxy.connectedAt > allowed {
+		m.fail("rule 4: proxy %d gives too much to warming endpoints: %v", proxy.id, held)
 	}
 }
--- a/assign/model_test.go
+++ b/assign/model_test.go
@@ -176,19 +176,19 @@
 	for _, order := range orders {
 		m.log = append(m.log, fmt.Sprintf("%.3f %T%+v", m.now, order, order))
 		m.checkOrder(order)
-		switch o := order.(type) {
+		switch order := order.(type) {
 		case SetTimer:
-			m.timers = append(m.timers, m.now+o.Delay)
+			m.timers = append(m.timers, m.now+order.Delay)
 		case AcknowledgmentRequest:
-			sequence = o.Sequence
+			sequence = order.Sequence
 		case ClearTable:
-			byProxy[o.Table/modelGroups] = append(byProxy[o.Table/modelGroups], o)
+			byProxy[order.Table/modelGroups] = append(byProxy[order.Table/modelGroups], order)
 		case SetWeight:
-			byProxy[o.Table/modelGroups] = append(byProxy[o.Table/modelGroups], o)
+			byProxy[order.Table/modelGroups] = append(byProxy[order.Table/modelGroups], order)
 		case SetRateLimit:
-			byProxy[o.Table/modelGroups] = append(byProxy[o.Table/modelGroups], o)
+			byProxy[order.Table/modelGroups] = append(byProxy[order.Table/modelGroups], order)
 		case AttachTable:
-			byProxy[o.Proxy] = append(byProxy[o.Proxy], o)
+			byProxy[order.Proxy] = append(byProxy[order.Proxy], order)
 		}
 	}
 	for id, p := range m.proxies {
@@ -212,18 +212,18 @@
 }
 
 // send puts a message into the channel. Those to one proxy keep their order.
-func (m *model) send(p *modelProxy, orders []Order, sequence int) {
-	message := modelMessage{to: p, orders: orders, lines: len(orders) + 6, sequence: sequence}
+func (m *model) send(proxy *modelProxy, orders []Order, sequence int) {
+	message := modelMessage{to: proxy, orders: orders, lines: len(orders) + 6, sequence: sequence}
 	message.sentAt = math.Max(m.channelFreeAt, m.now) + float64(message.lines)/m.channelRate
 	message.appliedAt = message.sentAt + 0.1 + 0.4*m.random.Float64()
 	for _, earlier := range m.inTransit {
-		if earlier.to == p {
+		if earlier.to == proxy {
 			message.appliedAt = math.Max(message.appliedAt, earlier.appliedAt)
 		}
 	}
 	m.channelFreeAt = message.sentAt
 	m.inTransit = append(m.inTransit, message)
-	p.messageTimes = append(p.messageTimes, m.now)
+	proxy.messageTimes = append(proxy.messageTimes, m.now)
 }
 
 // step moves the clock, applies what arrives, hands over events and checks the rules.
@@ -257,21 +257,21 @@
 }
 
 func (p *modelProxy) apply(order Order) {
-	switch o := order.(type) {
+	switch order := order.(type) {
 	case ClearTable:
-		p.entries[o.Table] = nil
+		p.entries[order.Table] = nil
 	case SetWeight:
-		if p.entries[o.Table] == nil {
-			p.entries[o.Table] = map[string]float64{}
+		if p.entries[order.Table] == nil {
+			p.entries[order.Table] = map[string]float64{}
 		}
-		p.entries[o.Table][o.Endpoint] = o.Weight
+		p.entries[order.Table][order.Endpoint] = order.Weight
 	case AttachTable:
-		classes := o.RequestClasses
+		classes := order.RequestClasses
 		if len(classes) == 0 {
 			classes = []int{0, 1, 2}
 		}
 		for _, class := range classes {
-			p.tables[class] = o.Table
+			p.tables[class] = order.Table
 		}
 	}
 }
@@ -374,15 +374,11 @@
 // record is the assigner's record of a proxy.
 func (m *model) record(id int) *proxy { return m.assigner.proxy(id) }
 
-// zoneX is the assigner's record of the zone x, taken stock of anew.
-func (m *model) zoneX() *zone {
-	z := m.assigner.zone("x")
-	z.recompute(m.assigner)
-	return z
-}
+// recomputeZoneX has the assigner take stock of the zone x anew.
+func (m *model) recomputeZoneX() { m.assigner.zone("x").recompute(m.assigner) }
 
 // signGroup is the group of the class "sign", which may use the zones x and y.
 func (m *model) signGroup() *tableGroup { return m.assigner.groups[1] }
 
-// signTable drafts a proxy's table for the class "sign".
-func (m *model) signTable(id int) *draft { return m.record(id).buildTable(m.assigner, m.signGroup()) }
+// signTable drafts the first proxy's table for the class "sign".
+func (m *model) signTable() *draft { return m.record(0).buildTable(m.assigner, m.signGroup()) }
--- a/assign/overload_test.go
+++ b/assign/overload_test.go
@@ -8,7 +8,7 @@
 // Answers that fail or come late while the endpoints are idle on the whole are no overload, however many, and what a few
 // endpoints answer is no total for all: set by the few good answers it would shrink with them, down to nothing.
 func TestIdleOrFewEndpointsSetNoTotal(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		endpoints, attempts, failed int
 		meanLatency, busy           float64
 		oldBusy                     float64 // reported of the others, long ago
@@ -22,13 +22,13 @@
 	} {
 		m := calmModel(t)
 		for _, e := range m.assigner.endpointList {
-			e.busy, e.lastAnsweredAt = c.oldBusy, m.now-5
+			e.busy, e.lastAnsweredAt = test.oldBusy, m.now-5
 		}
 		for range 5 {
-			m.reportAll(c.endpoints, 0.8, EndpointLoadReport{MeanLatency: c.meanLatency, Attempts: c.attempts, Failed: c.failed, Load: []float64{c.busy}})
+			m.reportAll(test.endpoints, 0.8, EndpointLoadReport{MeanLatency: test.meanLatency, Attempts: test.attempts, Failed: test.failed, Load: []float64{test.busy}})
 		}
-		if got := m.assigner.split.total > 0; got != c.want {
-			t.Errorf("%+v: a total is set: %v", c, got)
+		if got := m.assigner.split.total > 0; got != test.want {
+			t.Errorf("%+v: a total is set: %v", test, got)
 		}
 	}
 }
@@ -48,19 +48,19 @@
 // Where connections are scarce most attempts fail at idle endpoints and the rest are answered quickly: tables hold fewer
 // entries, and all again when the failures end.
 func TestScarceConnectionsMakeTablesNarrow(t *testing.T) {
-	m := calmModel(t)
+	sim := calmModel(t)
 	sizeAfter := func(failed int) int {
 		for range 40 {
-			m.reportAll(15, 0.8, EndpointLoadReport{MeanLatency: 0.1, Attempts: 9, Failed: failed, Load: []float64{0.3}})
+			sim.reportAll(15, 0.8, EndpointLoadReport{MeanLatency: 0.1, Attempts: 9, Failed: failed, Load: []float64{0.3}})
 		}
-		m.endpoints[0].StartedAt = m.now - 4 // warming: of two entries one is soon avoided, and all presses on the other
-		m.update(m.endpoints[0])
-		for _, e := range m.assigner.endpointList { // of this zone's proxies nothing is known yet
+		sim.endpoints[0].StartedAt = sim.now - 4 // warming: of two entries one is soon avoided, and all presses on the other
+		sim.update(sim.endpoints[0])
+		for _, e := range sim.assigner.endpointList { // of this zone's proxies nothing is known yet
 			e.health = nil
 		}
-		m.zoneX()
-		table := m.signTable(0)
-		if has := entryWeight(table.entries, m.assigner.endpoints["t0"]) > 0; has != (failed == 0) {
+		sim.recomputeZoneX()
+		table := sim.signTable()
+		if has := entryWeight(table.entries, sim.assigner.endpoints["t0"]) > 0; has != (failed == 0) {
 			t.Errorf("%d of 9 fail: a warming endpoint has an entry: %v", failed, has)
 		}
 		return len(table.entries)
@@ -80,7 +80,7 @@
 		config.ProxyCount = 11
 		config.RequestClasses = []RequestClassConfig{{Name: "read", LatencyObjective: 1}}
 		config.Reports.LoadMetrics = []LoadMetric{MetricBusy}
-		a := New(1, config)
+		assigner := New(1, config)
 		listed := newEndpoints("t", 48)
 		events := []Event{EndpointUpdate{Full: true, Endpoints: listed}}
 		for i := range 11 {
@@ -94,13 +94,13 @@
 				}
 				events = append(events, EndpointUpdate{Endpoints: listed[:draining]})
 			}
-			a.Handle(1000+float64(second), events)
+			assigner.Handle(1000+float64(second), events)
 			events = nil
-			if second < lateFrom && a.split.total > 0 {
+			if second < lateFrom && assigner.split.total > 0 {
 				t.Fatalf("%d drain: at %d s a total is set while all is well", draining, second)
 			}
 		}
-		if total, ready := a.split.total, float64(48-draining); total < ready/2 || total > ready {
+		if total, ready := assigner.split.total, float64(48-draining); total < ready/2 || total > ready {
 			t.Errorf("%d drain: after 4 s of late answers the total is %g of 44/s", draining, total)
 		}
 	}
--- a/assign/proxies_test.go
+++ b/assign/proxies_test.go
@@ -104,25 +104,25 @@
 
 // After a restart a lost zone comes back endpoint by endpoint: the first must not be taken for the whole zone.
 func TestReturningZoneIsNotTakenForItsFirstEndpoint(t *testing.T) {
-	m := newModel(1)
-	for _, e := range m.endpoints {
+	sim := newModel(1)
+	for _, e := range sim.endpoints {
 		if e.Zone == "x" {
 			e.State = Removed
 		}
 	}
-	m.start()
-	m.connect(m.proxies[0])
-	m.endpoints[0].State, m.endpoints[0].StartedAt = Ready, m.now
-	m.update(m.endpoints[0])
-	m.idle(4.5)
-	held, sum := m.held(m.proxies[0], 0), 0.0
+	sim.start()
+	sim.connect(sim.proxies[0])
+	sim.endpoints[0].State, sim.endpoints[0].StartedAt = Ready, sim.now
+	sim.update(sim.endpoints[0])
+	sim.idle(4.5)
+	held, sum := sim.held(sim.proxies[0], 0), 0.0
 	for _, weight := range held {
 		sum += weight
 	}
 	if fraction := held["t0"] / sum; fraction == 0 || fraction > 0.1 {
 		t.Errorf("the first endpoint back takes %.2f of the table", fraction)
 	}
-	limits := m.record(0).classLimits
+	limits := sim.record(0).classLimits
 	if limits == nil || limits[0] > 1.25*(10/3+2*math.Sqrt(10.0/3))+1 {
 		t.Errorf("limits %v: a burst could push it over before it is reported", limits)
 	}
--- a/assign/proxy.go
+++ b/assign/proxy.go
@@ -84,16 +84,16 @@
 }
 
 // addReport takes in a report on one request class, weighted by the part of a tick that it covers.
-func (p *proxy) addReport(a *Assigner, report ProxyTrafficReport) {
-	for _, class := range a.classes {
+func (p *proxy) addReport(assigner *Assigner, report ProxyTrafficReport) {
+	for _, class := range assigner.classes {
 		if class.Name == report.RequestClass && report.Interval > 0 {
 			rate := float64(report.Requests) / report.Interval
 			p.rates[class.index] += (rate - p.rates[class.index]) * math.Min(1, report.Interval/tickInterval)
-			p.lastReportAt = a.now
+			p.lastReportAt = assigner.now
 		}
 	}
 	if p.quota == 0 && p.connected {
-		a.send(proxyAdmitted{p})
+		assigner.send(proxyAdmitted{p})
 	}
 }
 
@@ -104,29 +104,29 @@
 }
 
 // forgetTraffic takes the proxy out of the split.
-func (p *proxy) forgetTraffic(a *Assigner) {
+func (p *proxy) forgetTraffic(assigner *Assigner) {
 	p.quota = 0
-	p.rates = make([]float64, len(a.classes))
+	p.rates = make([]float64, len(assigner.classes))
 }
 
 // recordSent keeps what a message to the proxy sets and what it takes in the channel.
-func (p *proxy) recordSent(a *Assigner, orders []Order, batch unacknowledgedBatch) {
+func (p *proxy) recordSent(assigner *Assigner, orders []Order, batch unacknowledgedBatch) {
 	for _, order := range orders {
-		p.recordOrder(a, order)
+		p.recordOrder(assigner, order)
 	}
-	window := a.config.Channel.MessageWindow
-	p.messageTimes = slices.DeleteFunc(p.messageTimes, func(at float64) bool { return a.now-at > window })
-	p.messageTimes = append(p.messageTimes, a.now)
+	window := assigner.config.Channel.MessageWindow
+	p.messageTimes = slices.DeleteFunc(p.messageTimes, func(at float64) bool { return assigner.now-at > window })
+	p.messageTimes = append(p.messageTimes, assigner.now)
 	p.inFlight = append(p.inFlight, batch)
 }
 
-func (p *proxy) recordOrder(a *Assigner, order Order) {
+func (p *proxy) recordOrder(assigner *Assigner, order Order) {
 	switch o := order.(type) {
 	case SetWeight:
-		table := &p.tables[o.Table%len(a.groups)]
+		table := &p.tables[o.Table%len(assigner.groups)]
 		*table = slices.DeleteFunc(*table, func(entry tableEntry) bool { return entry.endpoint.name == o.Endpoint })
 		if o.Weight > 0 {
-			*table = append(*table, tableEntry{a.endpoints[o.Endpoint], o.Weight})
+			*table = append(*table, tableEntry{assigner.endpoints[o.Endpoint], o.Weight})
 		}
 	case SetRateLimit:
 		p.classLimits[o.RequestClasses[0]] = o.Limit
--- a/assign/ratesplit.go
+++ b/assign/ratesplit.go
@@ -19,10 +19,10 @@
 func newRateSplit() *rateSplit { return &rateSplit{tableSize: tableSize} }
 
 // members gives the proxies that have a quota, and drops those that fell silent.
-func (s *rateSplit) members(a *Assigner) (members []*proxy) {
-	for _, p := range a.proxies {
-		if a.now-p.lastReportAt > silenceTimeout {
-			a.send(proxySilent{p})
+func (s *rateSplit) members(assigner *Assigner) (members []*proxy) {
+	for _, p := range assigner.proxies {
+		if assigner.now-p.lastReportAt > silenceTimeout {
+			assigner.send(proxySilent{p})
 		} else if p.quota > 0 {
 			members = append(members, p)
 		}
@@ -32,55 +32,55 @@
 
 // admit collects the proxies that come in one batch. One by one, a fleet that comes at once would cost the
 // square of its size.
-func (s *rateSplit) admit(a *Assigner, p *proxy) {
+func (s *rateSplit) admit(assigner *Assigner, p *proxy) {
 	s.admitted = append(s.admitted, p)
 	if len(s.admitted) == 1 {
-		a.send(admissionsComplete{})
+		assigner.send(admissionsComplete{})
 	}
 }
 
 // shareWithAdmitted gives each new proxy an equal quota and scales the others down to match (design page).
-func (s *rateSplit) shareWithAdmitted(a *Assigner) {
-	members := s.members(a)
+func (s *rateSplit) shareWithAdmitted(assigner *Assigner) {
+	members := s.members(assigner)
 	slices.SortFunc(s.admitted, func(x, y *proxy) int { return cmp.Compare(x.id, y.id) })
 	admitted := slices.DeleteFunc(slices.Compact(s.admitted), func(p *proxy) bool { return p.quota > 0 })
 	count := float64(len(admitted))
 	all := float64(len(members)) + count
 	for _, p := range members {
-		a.send(quotaAssigned{p, p.quota * (1 - count/all), p.rateLimit})
+		assigner.send(quotaAssigned{p, p.quota * (1 - count/all), p.rateLimit})
 	}
 	for _, p := range admitted {
-		a.send(quotaAssigned{p, 1 / all, 0})
+		assigner.send(quotaAssigned{p, 1 / all, 0})
 	}
 	s.admitted = nil
 }
 
 // tick takes stock of the period and splits the total anew.
-func (s *rateSplit) tick(a *Assigner) {
-	members := s.members(a)
-	observedRate := measureClasses(a, members)
-	for _, z := range a.zones {
+func (s *rateSplit) tick(assigner *Assigner) {
+	members := s.members(assigner)
+	observedRate := measureClasses(assigner, members)
+	for _, z := range assigner.zones {
 		z.measureTraffic(members, observedRate)
-		z.recompute(a)
-		z.adjustSpillover(a)
+		z.recompute(assigner)
+		z.adjustSpillover(assigner)
 	}
-	overloaded := s.updateTotal(a, observedRate)
+	overloaded := s.updateTotal(assigner, observedRate)
 	if !overloaded {
-		reportUnhealthy(a)
+		reportUnhealthy(assigner)
 	}
-	s.redistribute(a, members, observedRate)
+	s.redistribute(assigner, members, observedRate)
 }
 
 // measureClasses sets the rate of each request class and returns that of all, 1/s.
-func measureClasses(a *Assigner, members []*proxy) (observedRate float64) {
-	for _, class := range a.classes {
+func measureClasses(assigner *Assigner, members []*proxy) (observedRate float64) {
+	for _, class := range assigner.classes {
 		class.rate = minRate
 		for _, p := range members {
 			class.rate += p.rates[class.index]
 		}
 		observedRate += class.rate
 	}
-	for _, class := range a.classes {
+	for _, class := range assigner.classes {
 		class.trafficFraction = class.rate / observedRate
 	}
 	return observedRate
@@ -99,11 +99,11 @@
 }
 
 // reportUnhealthy has endpoints that answered badly in this period weigh less.
-func reportUnhealthy(a *Assigner) {
-	for _, e := range a.endpointList {
+func reportUnhealthy(assigner *Assigner) {
+	for _, e := range assigner.endpointList {
 		for _, health := range e.health {
-			if health.unhealthy() && a.now-health.assessedAt <= tickInterval {
-				a.send(unhealthyInPeriod{e, health})
+			if health.unhealthy() && assigner.now-health.assessedAt <= tickInterval {
+				assigner.send(unhealthyInPeriod{e, health})
 			}
 		}
 	}
@@ -112,7 +112,7 @@
 // redistribute moves unused quota (design page; its word: surplus). The quota of a proxy that uses less
 // than its own drops to its use; what that frees goes in equal pieces to those that use all of theirs.
 // Without a total every quota follows the use.
-func (s *rateSplit) redistribute(a *Assigner, members []*proxy, observedRate float64) {
+func (s *rateSplit) redistribute(assigner *Assigner, members []*proxy, observedRate float64) {
 	usedQuota := func(p *proxy) float64 {
 		return math.Max(p.totalRate()/cmp.Or(s.total, observedRate), minQuota)
 	}
@@ -135,7 +135,7 @@
 		if s.usesAll(p) {
 			quota = (p.quota + freed/fullUsers) / sum
 		}
-		a.send(quotaAssigned{p, quota, quota * s.total})
+		assigner.send(quotaAssigned{p, quota, quota * s.total})
 	}
 }
 
--- a/assign/ratesplit_test.go
+++ b/assign/ratesplit_test.go
@@ -6,14 +6,14 @@
 )
 
 func TestWideOverloadSplitsATotal(t *testing.T) {
-	m := calmModel(t)
-	m.run(12, 2.5)
-	split := m.assigner.split
+	sim := calmModel(t)
+	sim.run(12, 2.5)
+	split := sim.assigner.split
 	if split.total == 0 {
 		t.Fatal("no total under overload")
 	}
 	sum := 0.0
-	for _, p := range split.members(m.assigner) {
+	for _, p := range split.members(sim.assigner) {
 		sum += p.quota
 		if math.Abs(p.rateLimit-p.quota*split.total) > 1e-9 {
 			t.Errorf("rate limit %v is not quota %v of the total", p.rateLimit, p.quota)
@@ -22,12 +22,12 @@
 	if math.Abs(sum-1) > 1e-9 {
 		t.Errorf("quotas sum to %v", sum)
 	}
-	limits := m.record(0).classLimits
+	limits := sim.record(0).classLimits
 	if limits == nil || limits[0] >= limits[2] && limits[2] < unlimited {
 		t.Errorf("limits %v: the lowest priority is not rejected first", limits)
 	}
-	m.run(60, 0.3)
-	if split.total != 0 || m.record(0).classLimits[0] != unlimited {
+	sim.run(60, 0.3)
+	if split.total != 0 || sim.record(0).classLimits[0] != unlimited {
 		t.Error("limits not removed after the overload")
 	}
 }
@@ -52,18 +52,18 @@
 // Proxies that come in one batch get equal quotas, those that were there are scaled down to match, and the quotas stay a
 // whole.
 func TestProxiesComingAtOnceShareEqually(t *testing.T) {
-	m := newModel(1)
-	m.start()
+	sim := newModel(1)
+	sim.start()
 	connect := func(n int) (events []Event) {
 		for i := range n {
 			events = append(events, ProxyConnected{Proxy: i, Zone: zoneOf(i), TypicalRate: 10, Fresh: true})
 		}
 		return events
 	}
-	m.assigner.Handle(m.now, connect(2))
-	m.assigner.Handle(m.now, connect(8))
+	sim.assigner.Handle(sim.now, connect(2))
+	sim.assigner.Handle(sim.now, connect(8))
 	for i := range 8 {
-		if p := m.record(i); math.Abs(p.quota-1.0/8) > 1e-9 {
+		if p := sim.record(i); math.Abs(p.quota-1.0/8) > 1e-9 {
 			t.Errorf("proxy %d has a quota of %g", i, p.quota)
 		}
 	}
--- a/assign/roughday_test.go
+++ b/assign/roughday_test.go
@@ -24,54 +24,54 @@
 
 // playRoughDayWith is playRoughDay with another configuration.
 func playRoughDayWith(seed int64, change func(*Config)) *model {
-	m := newModel(seed)
-	change(&m.config)
-	m.config.RemovalIsAdvisory = seed%2 == 0
+	sim := newModel(seed)
+	change(&sim.config)
+	sim.config.RemovalIsAdvisory = seed%2 == 0
 	for i := 8; seed%5 == 0 && i < 30; i++ {
-		m.proxies = append(m.proxies, newModelProxy(i))
-		m.config.Channel.QueueLimit, m.config.ProxyCount = 15.0*float64(i), float64(i)
+		sim.proxies = append(sim.proxies, newModelProxy(i))
+		sim.config.Channel.QueueLimit, sim.config.ProxyCount = 15.0*float64(i), float64(i)
 	}
-	m.start()
-	day := &roughDay{model: m, busy: 0.5}
-	for day.step = 0; day.step < 400 && m.violation == ""; day.step++ {
+	sim.start()
+	day := &roughDay{model: sim, busy: 0.5}
+	for day.step = 0; day.step < 400 && sim.violation == ""; day.step++ {
 		events := day.happening()
 		n := min(len(day.reports), 15)
-		m.step(0.02+0.2*m.random.Float64(), append(events, day.reports[:n]...)...)
+		sim.step(0.02+0.2*sim.random.Float64(), append(events, day.reports[:n]...)...)
 		day.reports = day.reports[n:]
 	}
-	return m
+	return sim
 }
 
 // happening draws what happens next, and gives the events that tell the assigner of it.
 func (d *roughDay) happening() []Event {
-	e := d.endpoints[d.random.Intn(len(d.endpoints))]
-	p := d.proxies[d.random.Intn(len(d.proxies))]
-	switch x := d.random.Float64(); {
-	case x < 0.15:
-		if !p.connected {
-			d.connect(p)
+	endpoint := d.endpoints[d.random.Intn(len(d.endpoints))]
+	proxy := d.proxies[d.random.Intn(len(d.proxies))]
+	switch chance := d.random.Float64(); {
+	case chance < 0.15:
+		if !proxy.connected {
+			d.connect(proxy)
 		}
-	case x < 0.18 && p.connected:
-		return d.disconnect(p)
-	case x < 0.23:
-		return d.stop(e)
-	case x < 0.27:
-		e.State, e.failing, e.StartedAt = Ready, false, d.now-d.random.Float64()/2
-		return listOf(e)
-	case x < 0.29:
-		e.failing = !e.failing
-	case x < 0.295:
+	case chance < 0.18 && proxy.connected:
+		return d.disconnect(proxy)
+	case chance < 0.23:
+		return d.stop(endpoint)
+	case chance < 0.27:
+		endpoint.State, endpoint.failing, endpoint.StartedAt = Ready, false, d.now-d.random.Float64()/2
+		return listOf(endpoint)
+	case chance < 0.29:
+		endpoint.failing = !endpoint.failing
+	case chance < 0.295:
 		d.start()
 		d.reports = nil
-	case x < 0.3:
-		p.stalledUntil = d.now + 2*d.random.Float64()
-	case x < 0.305:
-		return d.wrongList(p.zone)
-	case x < 0.31:
+	case chance < 0.3:
+		proxy.stalledUntil = d.now + 2*d.random.Float64()
+	case chance < 0.305:
+		return d.wrongList(proxy.zone)
+	case chance < 0.31:
 		d.busy = 0.3 + 1.5*d.random.Float64()
-	case x < 0.33:
+	case chance < 0.33:
 		return listOf(d.endpoints...)
-	case x < 0.5:
+	case chance < 0.5:
 		d.reports = append(d.reports, d.model.reports(d.busy)...)
 	}
 	return nil
--- a/assign/scheduler.go
+++ b/assign/scheduler.go
@@ -20,10 +20,10 @@
 }
 
 // request has the tables of a proxy looked at, or those of all.
-func (s *orderScheduler) request(a *Assigner, p *proxy) {
+func (s *orderScheduler) request(assigner *Assigner, p *proxy) {
 	s.retryAt = 0
 	if p == nil {
-		s.pending = slices.Clone(a.proxies)
+		s.pending = slices.Clone(assigner.proxies)
 	} else if !slices.Contains(s.pending, p) {
 		s.pending = append(s.pending, p)
 	}
@@ -49,37 +49,37 @@
 }
 
 // run sends the orders of the pending proxies as far as the channel takes them; the others wait.
-func (s *orderScheduler) run(a *Assigner) {
-	for _, z := range a.zones {
-		z.recompute(a)
+func (s *orderScheduler) run(assigner *Assigner) {
+	for _, z := range assigner.zones {
+		z.recompute(assigner)
 	}
-	deliveries := s.deliveries(a)
-	queued := linesInFlight(a.proxies)
+	deliveries := s.deliveries(assigner)
+	queued := linesInFlight(assigner.proxies)
 	sequence := (s.sequence + 1) % maxSequence
 	for _, d := range deliveries {
-		if queued+d.lines > d.window()*s.channel.QueueLimit || !s.mayMessage(a, d.proxy, d.urgent) {
+		if queued+d.lines > d.window()*s.channel.QueueLimit || !s.mayMessage(assigner, d.proxy, d.urgent) {
 			s.pending = append(s.pending, d.proxy)
 			continue
 		}
 		s.sequence = sequence
 		queued += d.lines
-		a.order(d.orders...)
-		a.send(ordersSent{d.proxy, d.orders, unacknowledgedBatch{sequence, d.lines}})
+		assigner.order(d.orders...)
+		assigner.send(ordersSent{d.proxy, d.orders, unacknowledgedBatch{sequence, d.lines}})
 	}
 	if s.sequence == sequence {
-		a.order(AcknowledgmentRequest{Sequence: sequence})
+		assigner.order(AcknowledgmentRequest{Sequence: sequence})
 	}
 	if len(s.pending) > 0 {
-		s.retryAt = a.now + retryDelay
-		a.order(SetTimer{Delay: retryDelay})
+		s.retryAt = assigner.now + retryDelay
+		assigner.order(SetTimer{Delay: retryDelay})
 	}
 }
 
 // deliveries works out the messages of the pending proxies: urgent ones first, and among equals the proxy
 // that waits longest, lest any starve.
-func (s *orderScheduler) deliveries(a *Assigner) (deliveries []*delivery) {
+func (s *orderScheduler) deliveries(assigner *Assigner) (deliveries []*delivery) {
 	for _, p := range s.pending {
-		orders, urgent := p.reconcile(a)
+		orders, urgent := p.reconcile(assigner)
 		if len(orders) == 0 {
 			continue
 		}
@@ -105,13 +105,13 @@
 }
 
 // mayMessage tells whether a proxy may get another message. A third of the limit is kept for urgent ones.
-func (s *orderScheduler) mayMessage(a *Assigner, p *proxy, urgent bool) bool {
-	expired, _ := slices.BinarySearch(p.messageTimes, a.now-s.channel.MessageWindow)
+func (s *orderScheduler) mayMessage(assigner *Assigner, p *proxy, urgent bool) bool {
+	expired, _ := slices.BinarySearch(p.messageTimes, assigner.now-s.channel.MessageWindow)
 	recent := len(p.messageTimes) - expired
 	noLimit := s.maxMessages == 0
 	if urgent && (noLimit || recent < s.maxMessages-1) {
 		return true
 	}
-	tooSoon := recent > 0 && a.now-p.lastMessageAt() < minMessageInterval
+	tooSoon := recent > 0 && assigner.now-p.lastMessageAt() < minMessageInterval
 	return !tooSoon && (noLimit || recent < s.maxMessages*2/3)
 }
--- a/assign/scheduler_test.go
+++ b/assign/scheduler_test.go
@@ -8,11 +8,11 @@
 
 // releaseModel is an assigner at which so many proxies are connected that hold what nobody knows, so that each gets
 // assigned tables. The function passes time, hands over events and acknowledges all orders.
-func releaseModel(tb testing.TB, proxies, endpoints int) (a *Assigner, batch func(seconds float64, events ...Event)) {
+func releaseModel(tb testing.TB, proxies, endpoints int) (assigner *Assigner, batch func(seconds float64, events ...Event)) {
 	tb.Helper()
 	config := modelConfig()
 	config.ProxyCount, config.Channel.QueueLimit = float64(proxies), 30000
-	a = New(1, config)
+	assigner = New(1, config)
 	var listed []Endpoint
 	for i := range endpoints {
 		listed = append(listed, Endpoint{Zone: zoneOf(i), Name: fmt.Sprint("t", i), Weight: 1 + float64(i%2)})
@@ -24,23 +24,23 @@
 	now := 1000.0
 	batch = func(seconds float64, events ...Event) {
 		now += seconds
-		a.Handle(now, acknowledgmentsFor(a, a.Handle(now, events)))
+		assigner.Handle(now, acknowledgmentsFor(assigner, assigner.Handle(now, events)))
 	}
 	batch(0, events...)
 	for range 200 {
 		batch(0.1)
 	}
-	return a, batch
+	return assigner, batch
 }
 
 // acknowledgmentsFor are those of the proxies, by number, whose tables a batch of orders changes.
-func acknowledgmentsFor(a *Assigner, orders []Order) (events []Event) {
+func acknowledgmentsFor(assigner *Assigner, orders []Order) (events []Event) {
 	var proxies []int
 	sequence := 0
 	for _, order := range orders {
 		switch o := order.(type) {
 		case SetWeight:
-			proxies = append(proxies, o.Table/len(a.groups))
+			proxies = append(proxies, o.Table/len(assigner.groups))
 		case AcknowledgmentRequest:
 			sequence = o.Sequence
 		}
@@ -91,7 +91,7 @@
 func TestUrgentOrdersTakeTurns(t *testing.T) {
 	config := modelConfig()
 	config.ProxyCount, config.Channel.QueueLimit, config.Channel.MessageLimit = 20, 60, 0
-	a := New(1, config)
+	assigner := New(1, config)
 	listed := newEndpoints("t", 200)
 	events := []Event{EndpointUpdate{Full: true, Endpoints: listed}}
 	for i := range 20 { // they hold what nobody knows
@@ -99,7 +99,7 @@
 	}
 	now := 1000.0
 	for step := range 30 { // a call carries two tables; each step five endpoints drain, and every table has entries to lose
-		events = acknowledgmentsFor(a, a.Handle(now, events))
+		events = acknowledgmentsFor(assigner, assigner.Handle(now, events))
 		for i := range listed[step*5 : step*5+5] {
 			listed[step*5+i].State = Draining
 		}
@@ -107,7 +107,7 @@
 		now += 0.2
 	}
 	for i := range 20 {
-		if !a.proxy(i).hasAssignedTables {
+		if !assigner.proxy(i).hasAssignedTables {
 			t.Errorf("proxy %d has never got a table", i)
 		}
 	}
--- a/assign/tables.go
+++ b/assign/tables.go
@@ -6,24 +6,24 @@
 )
 
 // plan returns the plan of a group's tables in the zone.
-func (z *zone) plan(a *Assigner, group *tableGroup) *tablePlan {
+func (z *zone) plan(assigner *Assigner, group *tableGroup) *tablePlan {
 	if plan := z.plans[group]; plan != nil {
 		return plan
 	}
 	plan := &tablePlan{remoteFraction: 1, byEndpoint: map[*endpoint]*candidate{}}
 	z.plans[group] = plan
-	found := plan.collect(a, z, group)
+	found := plan.collect(assigner, z, group)
 	peakWeight := 0.0
-	for _, other := range a.zones {
+	for _, other := range assigner.zones {
 		peakWeight += other.peakWeight
 	}
-	usualWeight := peakWeight / math.Max(1, float64(len(a.zones)))
+	usualWeight := peakWeight / math.Max(1, float64(len(assigner.zones)))
 	plan.remainingCapacity = found.total / math.Max(peakWeight, minDivisor)
 	if found.local > 0 {
 		if z.peakWeight > usualWeight/2 { // else it is coming back and was never seen whole
 			usualWeight = z.peakWeight
 		}
-		demand := plan.demand(a, z, found, usualWeight)
+		demand := plan.demand(assigner, z, found, usualWeight)
 		plan.remoteFraction = math.Max(z.spillover, 1-found.local/demand)
 	}
 	for _, c := range plan.candidates { // what a table of full size carries, if there are more endpoints
@@ -31,7 +31,7 @@
 		plan.byEndpoint[c.endpoint] = c
 	}
 	plan.fullTableWeight = math.Min(usualWeight, plan.fullTableWeight)
-	for _, p := range a.proxies {
+	for _, p := range assigner.proxies {
 		if p.hasAssignedTables && p.connected {
 			plan.addLoad(p.tables[group.index], p.typicalRate)
 		}
@@ -42,23 +42,23 @@
 // collect finds the candidates. Warming endpoints are warmed up by their own zone's proxies, which know
 // what they bring there; none gets an entry while the warm ones of the zone fail most attempts, as proxies
 // avoid what fails them and would all press on the few. Where there is nothing else they have to do.
-func (plan *tablePlan) collect(a *Assigner, z *zone, group *tableGroup) (found supply) {
+func (plan *tablePlan) collect(assigner *Assigner, z *zone, group *tableGroup) (found supply) {
 	var lastResort []*candidate
-	for _, e := range a.endpointList {
-		c := newCandidate(a, e, z.name)
-		if c.weight <= 0 || !group.allows(e, z.name) {
+	for _, e := range assigner.endpointList {
+		chosen := newCandidate(assigner, e, z.name)
+		if chosen.weight <= 0 || !group.allows(e, z.name) {
 			continue
 		}
-		found.total += c.weight
-		if c.warming && (z.unhealthy || c.remote && !group.representative.closedIn(z.name)) {
-			lastResort = append(lastResort, c)
+		found.total += chosen.weight
+		if chosen.warming && (z.unhealthy || chosen.remote && !group.representative.closedIn(z.name)) {
+			lastResort = append(lastResort, chosen)
 			continue
 		}
-		if !c.remote {
-			found.local += c.weight
-			found.warming = found.warming || c.warming
+		if !chosen.remote {
+			found.local += chosen.weight
+			found.warming = found.warming || chosen.warming
 		}
-		plan.candidates = append(plan.candidates, c)
+		plan.candidates = append(plan.candidates, chosen)
 	}
 	if len(plan.candidates) == 0 {
 		plan.candidates = lastResort
@@ -66,12 +66,12 @@
 	return found
 }
 
-func newCandidate(a *Assigner, e *endpoint, zone string) *candidate {
+func newCandidate(assigner *Assigner, e *endpoint, zone string) *candidate {
 	c := &candidate{
-		tableEntry:   tableEntry{e, e.listedWeight * e.weightFraction(a, zone)},
+		tableEntry:   tableEntry{e, e.listedWeight * e.weightFraction(assigner, zone)},
 		remote:       e.zone != zone,
-		warming:      e.warming(a),
-		unverified:   e.unverified(a, zone),
+		warming:      e.warming(assigner),
+		unverified:   e.unverified(assigner, zone),
 		failureRatio: e.healthIn(zone).failureRatio,
 	}
 	if c.unverified { // half of probation; rank has the other
@@ -83,21 +83,21 @@
 // demand is the weight that the zone's proxies need: what they usually have, less what the fleet has lost,
 // and in an overloaded zone what their traffic takes, as far as it is known. Beside warming endpoints there
 // must be warm ones, however bad these look. Proxies that do not report here bring as much as those that do.
-func (plan *tablePlan) demand(a *Assigner, z *zone, found supply, usualWeight float64) float64 {
+func (plan *tablePlan) demand(assigner *Assigner, target *zone, found supply, usualWeight float64) float64 {
 	demand := usualWeight
 	if !found.warming {
 		demand *= math.Min(1, plan.remainingCapacity)
 	}
-	if !z.overloaded {
+	if !target.overloaded {
 		return demand
 	}
 	reporting := 0.0
-	for _, other := range a.zones {
+	for _, other := range assigner.zones {
 		reporting += other.reportingProxies
 	}
-	proxies := math.Max(reporting, a.config.ProxyCount)
-	unheard := math.Max(1, proxies/float64(len(a.zones))/z.reportingProxies)
-	return math.Max(demand, found.total*z.trafficFraction*reporting/proxies*unheard)
+	proxies := math.Max(reporting, assigner.config.ProxyCount)
+	unheard := math.Max(1, proxies/float64(len(assigner.zones))/target.reportingProxies)
+	return math.Max(demand, found.total*target.trafficFraction*reporting/proxies*unheard)
 }
 
 // rankFor ranks the candidates for a proxy. It keeps an entry until another endpoint is clearly less
@@ -118,9 +118,9 @@
 
 // lowestRanked gives the first n local or remote candidates. Sorting all for each proxy would cost a large
 // fleet a core.
-func (plan *tablePlan) lowestRanked(remote bool, n int) []*candidate {
-	chosen := make([]*candidate, 0, n+1)
-	if n <= 0 {
+func (plan *tablePlan) lowestRanked(remote bool, size int) []*candidate {
+	chosen := make([]*candidate, 0, size+1)
+	if size <= 0 {
 		return chosen
 	}
 	for _, c := range plan.candidates {
@@ -131,9 +131,9 @@
 		for i > 0 && c.dealtBefore(chosen[i-1]) {
 			i--
 		}
-		if i < n {
+		if i < size {
 			chosen = slices.Insert(chosen, i, c)
-			chosen = chosen[:min(len(chosen), n)]
+			chosen = chosen[:min(len(chosen), size)]
 		}
 	}
 	return chosen
@@ -141,12 +141,12 @@
 
 // buildTable drafts a proxy's table for a group: endpoints of its zone first, since crossing is charged,
 // then others until it carries what tables of the zone usually do.
-func (p *proxy) buildTable(a *Assigner, group *tableGroup) *draft {
-	plan := a.zone(p.zone).plan(a, group)
+func (p *proxy) buildTable(assigner *Assigner, group *tableGroup) *draft {
+	plan := assigner.zone(p.zone).plan(assigner, group)
 	held := p.tables[group.index]
 	plan.addLoad(held, -p.typicalRate)
 	plan.rankFor(held)
-	size := int(math.Round(a.split.tableSize))
+	size := int(math.Round(assigner.split.tableSize))
 	remoteSize := min(int(math.Round(plan.remoteFraction*float64(size))), size-1)
 	table := &draft{}
 	localWeight, _ := table.add(plan.lowestRanked(false, size-remoteSize))
@@ -161,13 +161,13 @@
 	}
 	table.weight = localWeight + remoteWeight
 	plan.addLoad(table.entries, p.typicalRate)
-	table.capWarming(a, plan)
+	table.capWarming(assigner, plan)
 	return table
 }
 
 // capWarming leaves warming endpoints the part that a full table would give them, even if warm ones are
 // missing, and sets the capacity of the table.
-func (d *draft) capWarming(a *Assigner, plan *tablePlan) {
+func (d *draft) capWarming(assigner *Assigner, plan *tablePlan) {
 	if d.warming == 0 {
 		return
 	}
@@ -180,7 +180,7 @@
 	}
 	if d.warming > maxShare*d.weight {
 		for i, entry := range d.entries {
-			if entry.endpoint.warming(a) {
+			if entry.endpoint.warming(assigner) {
 				d.entries[i].weight *= maxShare / (1 - maxShare) * warm / d.warming
 			}
 		}
--- a/assign/tables_test.go
+++ b/assign/tables_test.go
@@ -4,19 +4,19 @@
 
 // singleZoneModel is an assigner with sixty proxies and forty endpoints in one zone, all tables assigned; the function
 // tells how much each endpoint gets of what the proxies typically bring, for its listed weight.
-func singleZoneModel() (a *Assigner, loads func() map[*endpoint]float64) {
+func singleZoneModel() (assigner *Assigner, loads func() map[*endpoint]float64) {
 	config := DefaultConfig()
 	config.ProxyCount = 60
 	config.RequestClasses = []RequestClassConfig{{Name: "read", LatencyObjective: 1}}
-	a = New(5, config)
+	assigner = New(5, config)
 	events := []Event{EndpointUpdate{Full: true, Endpoints: newEndpoints("t", 40)}}
 	for i := range 60 {
 		events = append(events, ProxyConnected{Proxy: i, Zone: "x", TypicalRate: 2 + float64(i%3)})
 	}
-	a.Handle(1, events)
-	return a, func() map[*endpoint]float64 {
+	assigner.Handle(1, events)
+	return assigner, func() map[*endpoint]float64 {
 		loads := map[*endpoint]float64{}
-		for _, p := range a.proxies {
+		for _, p := range assigner.proxies {
 			sum := 0.0
 			for _, entry := range p.tables[0] {
 				sum += entry.weight
@@ -50,9 +50,9 @@
 // A wrong list adds endpoints that claim to have run for long: they get attempts, but only probation's part, until they
 // answer.
 func TestUnverifiedEndpointsEarnTheirEntries(t *testing.T) {
-	a, loads := singleZoneModel()
+	assigner, loads := singleZoneModel()
 	now := 20.0
-	a.Handle(now, []Event{EndpointUpdate{Endpoints: newEndpoints("s", 30)}})
+	assigner.Handle(now, []Event{EndpointUpdate{Endpoints: newEndpoints("s", 30)}})
 	means := func() (known, added float64) {
 		for e, load := range loads() {
 			if e.name[0] == 's' {
@@ -70,11 +70,11 @@
 	for _, e := range newEndpoints("s", 30) {
 		events = append(events, EndpointLoadReport{Zone: "x", Endpoint: e.Name, Interval: 1, Attempts: 1, MeanLatency: 0.1})
 	}
-	a.Handle(now+1, events)
+	assigner.Handle(now+1, events)
 	for i := 2.0; i < 20; i++ {
-		a.Handle(now+i, []Event{TimerFired{1}})
-		for _, p := range a.proxies {
-			a.Handle(now+i+0.5, []Event{Acknowledged{Proxy: p.id, Sequence: a.scheduler.sequence}})
+		assigner.Handle(now+i, []Event{TimerFired{1}})
+		for _, p := range assigner.proxies {
+			assigner.Handle(now+i+0.5, []Event{Acknowledged{Proxy: p.id, Sequence: assigner.scheduler.sequence}})
 		}
 	}
 	if known, added := means(); added < known/reassignmentRatio {
--- a/assign/warmup_test.go
+++ b/assign/warmup_test.go
@@ -19,19 +19,19 @@
 // When all that a table held is removed and only warming endpoints are left, the removed ones must still leave it at
 // once, and what the proxies let in must shrink to what warming endpoints can do.
 func TestOnlyWarmingEndpointsLeft(t *testing.T) {
-	m := calmModel(t)
-	for i, e := range m.endpoints {
+	sim := calmModel(t)
+	for i, e := range sim.endpoints {
 		e.State = Removed
 		if i == 1 || i == 4 { // of zone y
-			e.State, e.StartedAt = Ready, m.now-3.5
+			e.State, e.StartedAt = Ready, sim.now-3.5
 		}
 	}
-	m.update(m.endpoints...)
-	m.idle(3)
-	for _, p := range m.proxies {
-		held, limits := m.held(p, 0), m.record(p.id).classLimits
-		if m.violation != "" || held["t1"] == 0 || held["t4"] == 0 || limits == nil || limits[0] > 5 {
-			t.Errorf("proxy %d holds %v, lets in %v; %s", p.id, held, limits, m.violation)
+	sim.update(sim.endpoints...)
+	sim.idle(3)
+	for _, p := range sim.proxies {
+		held, limits := sim.held(p, 0), sim.record(p.id).classLimits
+		if sim.violation != "" || held["t1"] == 0 || held["t4"] == 0 || limits == nil || limits[0] > 5 {
+			t.Errorf("proxy %d holds %v, lets in %v; %s", p.id, held, limits, sim.violation)
 		}
 	}
 }
@@ -40,23 +40,23 @@
 // none of the warming ones: proxies keep away from what fails them, and all would press on the few.
 func TestWarmingEndpointsHaveSoundOnesBeside(t *testing.T) {
 	for failureRatio, maxShare := range map[float64]float64{0: 0.5, 0.8: 0} {
-		m := calmModel(t)
-		for _, e := range m.endpoints {
+		sim := calmModel(t)
+		for _, e := range sim.endpoints {
 			e.StartedAt = 0
 			if e.Zone == "x" {
-				e.StartedAt = m.now - 3.5
+				e.StartedAt = sim.now - 3.5
 				continue
 			}
-			health := m.assigner.endpoints[e.Name].healthIn("x")
+			health := sim.assigner.endpoints[e.Name].healthIn("x")
 			health.weight, health.failureRatio = probationWeight, failureRatio
 		}
-		m.update(m.endpoints[0], m.endpoints[3], m.endpoints[6], m.endpoints[9], m.endpoints[12])
-		m.zoneX()
-		table := m.signTable(0)
+		sim.update(sim.endpoints[0], sim.endpoints[3], sim.endpoints[6], sim.endpoints[9], sim.endpoints[12])
+		sim.recomputeZoneX()
+		table := sim.signTable()
 		warming, sum := 0.0, 0.0
 		for _, entry := range table.entries {
 			sum += entry.weight
-			if entry.endpoint.warming(m.assigner) {
+			if entry.endpoint.warming(sim.assigner) {
 				warming += entry.weight
 			}
 		}
@@ -69,20 +69,20 @@
 // A zone with more endpoints than a table has entries carries what a full table does: while the fleet grows by warming
 // endpoints, proxies must not be held to a small part of what they bring.
 func TestGrowingZoneIsNotLimitedForItsSize(t *testing.T) {
-	m := calmModel(t)
+	sim := calmModel(t)
 	for _, entry := range newEndpoints("n", 20) {
-		entry.StartedAt = m.now - 6
-		m.step(0.01, EndpointUpdate{Endpoints: []Endpoint{entry}})
+		entry.StartedAt = sim.now - 6
+		sim.step(0.01, EndpointUpdate{Endpoints: []Endpoint{entry}})
 	}
-	table := m.signTable(0)
+	table := sim.signTable()
 	if len(table.entries) > tableSize || table.capacity < 0.5 {
 		t.Errorf("%d entries carry %.2f", len(table.entries), table.capacity)
 	}
-	for _, e := range m.assigner.endpointList {
+	for _, e := range sim.assigner.endpointList {
 		e.healthIn("x").failureRatio = 0.9
 	}
-	m.zoneX()
-	if failing := m.signTable(0); failing.capacity > table.capacity/5 {
+	sim.recomputeZoneX()
+	if failing := sim.signTable(); failing.capacity > table.capacity/5 {
 		t.Errorf("entries that fail nine attempts in ten carry %.2f of %.2f", failing.capacity, table.capacity)
 	}
 }
--- a/assign/zones.go
+++ b/assign/zones.go
@@ -3,23 +3,23 @@
 import "math"
 
 // recompute takes stock of the zone's endpoints. The tables planned before are void then.
-func (z *zone) recompute(a *Assigner) {
+func (z *zone) recompute(assigner *Assigner) {
 	z.plans = map[*tableGroup]*tablePlan{}
-	z.careAnywhere = a.forgottenCare
-	z.careLocal = a.forgottenCare
+	z.careAnywhere = assigner.forgottenCare
+	z.careLocal = assigner.forgottenCare
 	var busyWeight, readyWeight, warmWeight, soundWeight float64
-	for _, e := range a.endpointList {
-		health := e.healthIn(z.name)
-		local := e.zone == z.name
-		if local && e.state == Ready && !e.unverified(a, z.name) {
-			busyWeight += e.busy * e.listedWeight
-			readyWeight += e.listedWeight
+	for _, record := range assigner.endpointList {
+		health := record.healthIn(z.name)
+		local := record.zone == z.name
+		if local && record.state == Ready && !record.unverified(assigner, z.name) {
+			busyWeight += record.busy * record.listedWeight
+			readyWeight += record.listedWeight
 		}
-		if e.state == Ready && !e.warming(a) {
-			soundWeight += e.listedWeight * (1 - health.failureRatio)
-			warmWeight += e.listedWeight
+		if record.state == Ready && !record.warming(assigner) {
+			soundWeight += record.listedWeight * (1 - health.failureRatio)
+			warmWeight += record.listedWeight
 		}
-		care := e.care(a, health)
+		care := record.care(assigner, health)
 		z.careAnywhere = max(z.careAnywhere, care)
 		if local {
 			z.careLocal = max(z.careLocal, care)
@@ -28,14 +28,14 @@
 	z.readyWeight = readyWeight
 	z.peakWeight = math.Max(z.peakWeight, readyWeight)
 	z.busy = busyWeight / math.Max(readyWeight, minDivisor)
-	z.unhealthy = 2*soundWeight < warmWeight || a.split.tableSize < tableSize
+	z.unhealthy = 2*soundWeight < warmWeight || assigner.split.tableSize < tableSize
 	z.overloaded = z.busy > busyOverloaded || z.overloaded && z.busy > busyRecovered
 }
 
 // care is what a default table that may hold the endpoint needs.
-func (e *endpoint) care(a *Assigner, health *zoneHealth) careLevel {
+func (e *endpoint) care(assigner *Assigner, health *zoneHealth) careLevel {
 	switch {
-	case e.state != Ready || e.warming(a):
+	case e.state != Ready || e.warming(assigner):
 		return careUrgent
 	case health.weight < 1:
 		return careWanted
@@ -47,20 +47,20 @@
 // the split moves unused quota between proxies: an assigner may not hear of other zones' proxies, but
 // endpoints report how busy all of them make them. What was shifted shows in reports only periods later;
 // until then it is reckoned with, or it would be shifted again.
-func (z *zone) adjustSpillover(a *Assigner) {
-	gap := z.spilloverGap(a)
+func (z *zone) adjustSpillover(assigner *Assigner) {
+	gap := z.spilloverGap(assigner)
 	z.feltSpillover += (z.spillover - z.feltSpillover) * tickInterval / feedbackDelay
 	z.spillover = math.Max(0, math.Min(maxSpillover, z.spillover+spilloverGain*gap))
 }
 
 // spilloverGap is how much busier the zone's endpoints are than those that it could use elsewhere.
-func (z *zone) spilloverGap(a *Assigner) float64 {
+func (z *zone) spilloverGap(assigner *Assigner) float64 {
 	if !z.overloaded {
 		return -spilloverDecay
 	}
 	remoteBusy, remoteWeight := 0.0, minDivisor
-	for _, e := range a.endpointList {
-		weight := e.listedWeight * e.weightFraction(a, z.name)
+	for _, e := range assigner.endpointList {
+		weight := e.listedWeight * e.weightFraction(assigner, z.name)
 		if e.zone != z.name && e.busy > 0 {
 			remoteBusy += e.busy * weight
 			remoteWeight += weight
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -144,21 +144,21 @@
 
 // carryOut carries out an order that is not for proxies, and tells whether it was one.
 func (l *Loop) carryOut(now float64, order assign.Order) bool {
-	switch o := order.(type) {
+	switch order := order.(type) {
 	case assign.SetTimer:
-		if !l.timers.set(timer{now + o.Delay, o.ID}) {
+		if !l.timers.set(timer{now + order.Delay, order.ID}) {
 			l.log.Error().Msg("too many timers: one dropped")
 		}
 	case assign.Log:
-		l.log.Info().Msg(o.Message)
+		l.log.Info().Msg(order.Message)
 	case assign.SendPeerMessage:
-		l.outputs.SendPeerMessage(o.To, o.Data)
+		l.outputs.SendPeerMessage(order.To, order.Data)
 	case assign.WatchEndpoints:
-		l.outputs.WatchEndpoints(o.Enabled)
+		l.outputs.WatchEndpoints(order.Enabled)
 	case assign.FetchEndpoints:
 		l.outputs.FetchEndpoints()
 	case assign.HealthCheck:
-		l.log.Error().Str("endpoint", o.Endpoint).Msg("health check ordered: the protocol has none")
+		l.log.Error().Str("endpoint", order.Endpoint).Msg("health check ordered: the protocol has none")
 	default:
 		return false
 	}
--- a/internal/eventqueue/eventqueue_test.go
+++ b/internal/eventqueue/eventqueue_test.go
@@ -11,22 +11,22 @@
 
 // However many reports wait, nobody who brings one is held up, and events pass; the newest reports stay.
 func TestReportsHoldNothingUp(t *testing.T) {
-	q := New()
+	queue := New()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	for i := range maxReports + 100 {
-		if err := q.Report(ctx, assign.ProxyTrafficReport{Requests: i}); err != nil {
+		if err := queue.Report(ctx, assign.ProxyTrafficReport{Requests: i}); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if err := q.Post(ctx, assign.ProxyDisconnected{Proxy: 1}); err != nil {
+	if err := queue.Post(ctx, assign.ProxyDisconnected{Proxy: 1}); err != nil {
 		t.Fatal(err)
 	}
-	if event := <-q.Events(); event != (assign.ProxyDisconnected{Proxy: 1}) {
+	if event := <-queue.Events(); event != (assign.ProxyDisconnected{Proxy: 1}) {
 		t.Errorf("got %+v", event)
 	}
-	if report := <-q.Reports(); report != (assign.ProxyTrafficReport{Requests: 100}) || q.Dropped() != 100 {
-		t.Errorf("got %+v, %d dropped", report, q.Dropped())
+	if report := <-queue.Reports(); report != (assign.ProxyTrafficReport{Requests: 100}) || queue.Dropped() != 100 {
+		t.Errorf("got %+v, %d dropped", report, queue.Dropped())
 	}
 }
 
--- a/internal/orderqueue/acknowledgments.go
+++ b/internal/orderqueue/acknowledgments.go
@@ -44,20 +44,20 @@
 }
 
 // receive takes note of an acknowledgment and returns it, behind those of the batches it stands for.
-func (l *acknowledgmentLedger) receive(a assign.Acknowledged) (all []assign.Event) {
+func (l *acknowledgmentLedger) receive(acknowledgment assign.Acknowledged) (all []assign.Event) {
 	for _, merged := range slices.Backward(l.merged) {
-		if merged.last != a.Sequence {
+		if merged.last != acknowledgment.Sequence {
 			continue
 		}
 		for _, sequence := range merged.earlier {
-			all = append(all, assign.Acknowledged{Proxy: a.Proxy, Sequence: sequence, Latency: a.Latency})
+			all = append(all, assign.Acknowledged{Proxy: acknowledgment.Proxy, Sequence: sequence, Latency: acknowledgment.Latency})
 		}
 		break
 	}
-	if !slices.Contains(l.received, a.Sequence) {
-		l.received = newest(append(l.received, a.Sequence))
+	if !slices.Contains(l.received, acknowledgment.Sequence) {
+		l.received = newest(append(l.received, acknowledgment.Sequence))
 	}
-	return append(all, a)
+	return append(all, acknowledgment)
 }
 
 // requestAgain puts sequence numbers of a call that is given back before those that came meanwhile.
--- a/internal/orderqueue/bench_test.go
+++ b/internal/orderqueue/bench_test.go
@@ -18,7 +18,7 @@
 	b.Helper()
 	config := testconfig.New([]string{"a"}, proxies, "read", "sign")
 	config.Channel = assign.ChannelConfig{MessageLimit: 20, MessageWindow: 10, MeanTransit: 0.2}
-	q := New(config.Channel, wire.NewCodec(config, time.Now()), zerolog.Nop())
+	queue := New(config.Channel, wire.NewCodec(config, time.Now()), zerolog.Nop())
 	var events []assign.Event
 	var attachments, weights []assign.Order
 	for i := range proxies {
@@ -26,10 +26,10 @@
 		attachments = append(attachments, assign.AttachTable{Proxy: i, Table: i})
 		weights = append(weights, assign.SetWeight{Table: i, Endpoint: fmt.Sprint("s-", i%200), Weight: 1})
 	}
-	q.Observe(events)
-	q.Submit(append(attachments, assign.AcknowledgmentRequest{Sequence: 1}))
-	q.drain(b)
-	return q, append(weights, assign.AcknowledgmentRequest{Sequence: 2})
+	queue.Observe(events)
+	queue.Submit(append(attachments, assign.AcknowledgmentRequest{Sequence: 1}))
+	queue.drain(b)
+	return queue, append(weights, assign.AcknowledgmentRequest{Sequence: 2})
 }
 
 // drain takes all that waits and has every proxy's messages forgotten.
--- a/internal/orderqueue/parts_test.go
+++ b/internal/orderqueue/parts_test.go
@@ -18,7 +18,7 @@
 }
 
 func TestPendingQueueCoalesces(t *testing.T) {
-	for name, c := range map[string]struct {
+	for name, test := range map[string]struct {
 		orders, want []assign.Order
 	}{
 		"the later of two for one entry": {
@@ -32,14 +32,14 @@
 			[]assign.Order{assign.SetWeight{Table: 2, Endpoint: "a"}, assign.ClearTable{Table: 1}}},
 	} {
 		q := newPendingQueue()
-		q.addAll(pendingOf(c.orders...))
+		q.addAll(pendingOf(test.orders...))
 		var got []assign.Order
 		for _, p := range q.orders {
 			if p != nil {
 				got = append(got, p.order)
 			}
 		}
-		if !reflect.DeepEqual(got, c.want) || q.count() != len(c.want) {
+		if !reflect.DeepEqual(got, test.want) || q.count() != len(test.want) {
 			t.Errorf("%s: got %v, %d counted", name, got, q.count())
 		}
 	}
@@ -108,43 +108,43 @@
 
 // A call counts once for each proxy, until it is out of the window or given back untaken.
 func TestMessageBudget(t *testing.T) {
-	budget, r, now := messageBudget{limit: 2, window: time.Second}, &recipient{}, time.Now()
+	budget, reached, now := messageBudget{limit: 2, window: time.Second}, &recipient{}, time.Now()
 	for number := 1; number <= 2; number++ {
 		call := sentCall{number: number, at: now.Add(time.Duration(number) * time.Millisecond)}
-		call.count(r)
-		call.count(r)
+		call.count(reached)
+		call.count(reached)
 		budget.spend(call)
 	}
-	if r.messages != 2 || !budget.exhausted(r) {
-		t.Errorf("%d messages", r.messages)
+	if reached.messages != 2 || !budget.exhausted(reached) {
+		t.Errorf("%d messages", reached.messages)
 	}
-	if budget.refund(2); r.messages != 1 || budget.exhausted(r) {
-		t.Errorf("%d messages after a refund", r.messages)
+	if budget.refund(2); reached.messages != 1 || budget.exhausted(reached) {
+		t.Errorf("%d messages after a refund", reached.messages)
 	}
-	if budget.expire(now.Add(time.Second)); r.messages != 1 {
-		t.Errorf("%d messages within the window", r.messages)
+	if budget.expire(now.Add(time.Second)); reached.messages != 1 {
+		t.Errorf("%d messages within the window", reached.messages)
 	}
-	if budget.expire(now.Add(2 * time.Second)); r.messages != 0 || len(budget.recent) != 0 {
-		t.Errorf("%d messages after the window", r.messages)
+	if budget.expire(now.Add(2 * time.Second)); reached.messages != 0 || len(budget.recent) != 0 {
+		t.Errorf("%d messages after the window", reached.messages)
 	}
 }
 
 // A table's users are those that may use it for any class.
 func TestDirectoryKnowsTheUsersOfATable(t *testing.T) {
-	d := newDirectory()
-	d.connect(assign.ProxyConnected{Proxy: 1})
-	r := d.connected[1]
-	d.setTables(r, "0,", 3)
-	d.setTables(r, "1,", 3, 4)
-	d.setTables(r, "1,", 4)
+	proxies := newDirectory()
+	proxies.connect(assign.ProxyConnected{Proxy: 1})
+	r := proxies.connected[1]
+	proxies.setTables(r, "0,", 3)
+	proxies.setTables(r, "1,", 3, 4)
+	proxies.setTables(r, "1,", 4)
 	users := func(table int) (n int) {
-		d.forEachReached(assign.ClearTable{Table: table}, func(*recipient) { n++ })
+		proxies.forEachReached(assign.ClearTable{Table: table}, func(*recipient) { n++ })
 		return n
 	}
 	if users(3) != 1 || users(4) != 1 || users(assign.AllProxies) != 1 || users(5) != 0 {
 		t.Errorf("got %d, %d, %d, %d", users(3), users(4), users(assign.AllProxies), users(5))
 	}
-	if d.disconnect(1); users(3) != 0 || users(4) != 0 || len(d.users) != 0 {
-		t.Errorf("after the disconnect: %v", d.users)
+	if proxies.disconnect(1); users(3) != 0 || users(4) != 0 || len(proxies.users) != 0 {
+		t.Errorf("after the disconnect: %v", proxies.users)
 	}
 }
--- a/internal/orderqueue/pending.go
+++ b/internal/orderqueue/pending.go
@@ -116,18 +116,18 @@
 }
 
 // add puts an order behind those that wait and takes out what it makes needless.
-func (q *pendingQueue) add(p *pendingOrder) {
-	if clearing, ok := p.order.(assign.ClearTable); ok {
+func (q *pendingQueue) add(added *pendingOrder) {
+	if clearing, ok := added.order.(assign.ClearTable); ok {
 		q.removeIf(func(other *pendingOrder) bool { return setsPartOf(other.order, clearing.Table) })
 	}
-	key := keyOf(p.order)
+	key := keyOf(added.order)
 	if i, ok := q.positions[key]; ok {
 		q.orders[i] = nil
 		q.coalesced++
 	}
 	q.compact()
 	q.positions[key] = len(q.orders)
-	q.orders = append(q.orders, p)
+	q.orders = append(q.orders, added)
 }
 
 // setsPartOf tells whether an order sets an entry or rate limit of a table.
--- a/internal/orderqueue/queue.go
+++ b/internal/orderqueue/queue.go
@@ -83,19 +83,19 @@
 	observed := make([]assign.Event, 0, len(events))
 	acknowledged, reconnected := map[int]bool{}, map[int]bool{}
 	for _, event := range events {
-		switch e := event.(type) {
+		switch event := event.(type) {
 		case assign.Acknowledged:
-			acknowledged[e.Sequence] = true
-			observed = append(observed, q.acknowledgments.receive(e)...)
+			acknowledged[event.Sequence] = true
+			observed = append(observed, q.acknowledgments.receive(event)...)
 		case assign.ProxyConnected:
-			reconnected[e.Proxy] = true
-			observed = append(observed, q.directory.connect(e))
+			reconnected[event.Proxy] = true
+			observed = append(observed, q.directory.connect(event))
 		case assign.ProxyDisconnected:
-			reconnected[e.Proxy] = true
-			q.directory.disconnect(e.Proxy)
-			observed = append(observed, e)
+			reconnected[event.Proxy] = true
+			q.directory.disconnect(event.Proxy)
+			observed = append(observed, event)
 		default:
-			observed = append(observed, e)
+			observed = append(observed, event)
 		}
 	}
 	if len(reconnected) > 0 {
--- a/internal/orderqueue/queue_test.go
+++ b/internal/orderqueue/queue_test.go
@@ -62,39 +62,39 @@
 
 // An acknowledgment of one part of a split batch says nothing of the other.
 func TestSharedAcknowledgmentProvesNothing(t *testing.T) {
-	q := newTestQueue(1)
-	q.connect(1, 2)
-	q.Submit([]assign.Order{assign.AttachTable{Proxy: 1, Table: 1}, assign.AcknowledgmentRequest{Sequence: 1}})
-	mustTake(t, q)
-	q.Submit([]assign.Order{assign.SetWeight{Table: 1, Endpoint: "t", Weight: 1}, assign.AttachTable{Proxy: 2, Table: 2},
+	queue := newTestQueue(1)
+	queue.connect(1, 2)
+	queue.Submit([]assign.Order{assign.AttachTable{Proxy: 1, Table: 1}, assign.AcknowledgmentRequest{Sequence: 1}})
+	mustTake(t, queue)
+	queue.Submit([]assign.Order{assign.SetWeight{Table: 1, Endpoint: "t", Weight: 1}, assign.AttachTable{Proxy: 2, Table: 2},
 		assign.AcknowledgmentRequest{Sequence: 2}})
-	call := mustTake(t, q) // proxy 1 has got as many messages as it may
+	call := mustTake(t, queue) // proxy 1 has got as many messages as it may
 	if !reflect.DeepEqual(call.Orders, []string{"attach,2,2,*", "fence,2,0"}) {
 		t.Fatalf("got %v", call.Orders)
 	}
-	q.Observe([]assign.Event{assign.Acknowledged{Proxy: 2, Sequence: 2}})
-	q.Ambiguous(call)
-	q.stopWaiting()
-	q.directory.connected[2].messages = 0
-	if call := mustTake(t, q); !reflect.DeepEqual(call.Orders, []string{"attach,2,2,*", "fence,2,0"}) {
+	queue.Observe([]assign.Event{assign.Acknowledged{Proxy: 2, Sequence: 2}})
+	queue.Ambiguous(call)
+	queue.stopWaiting()
+	queue.directory.connected[2].messages = 0
+	if call := mustTake(t, queue); !reflect.DeepEqual(call.Orders, []string{"attach,2,2,*", "fence,2,0"}) {
 		t.Errorf("got %v", call.Orders)
 	}
 }
 
 // randomStep does one of the things that happen to a queue, with the call in flight, if any.
-func randomStep(q *Queue, random *rand.Rand, sequence int, inFlight []Call) []Call {
+func randomStep(queue *Queue, random *rand.Rand, sequence int, inFlight []Call) []Call {
 	proxy := random.Intn(4)
 	switch random.Intn(6) {
 	case 0:
-		q.connect(proxy)
+		queue.connect(proxy)
 	case 1:
-		q.Observe([]assign.Event{assign.ProxyDisconnected{Proxy: proxy}})
+		queue.Observe([]assign.Event{assign.ProxyDisconnected{Proxy: proxy}})
 	case 2, 3:
-		q.Submit([]assign.Order{assign.AttachTable{Proxy: proxy, Table: proxy},
+		queue.Submit([]assign.Order{assign.AttachTable{Proxy: proxy, Table: proxy},
 			assign.SetWeight{Table: random.Intn(4), Endpoint: "t", Weight: 1},
 			assign.AcknowledgmentRequest{Sequence: sequence, AllProxies: random.Intn(4) == 0}})
 	case 4:
-		if call, ok, _ := q.take(); ok {
+		if call, ok, _ := queue.take(); ok {
 			return []Call{call}
 		}
 	default:
@@ -102,11 +102,11 @@
 			break
 		}
 		if random.Intn(2) == 0 {
-			q.Ambiguous(inFlight[0])
+			queue.Ambiguous(inFlight[0])
 		} else {
-			q.NotTaken(inFlight[0])
+			queue.NotTaken(inFlight[0])
 		}
-		q.stopWaiting()
+		queue.stopWaiting()
 		return nil
 	}
 	return inFlight
@@ -154,31 +154,31 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			q := newTestQueue(2)
-			q.connect(1)
+			queue := newTestQueue(2)
+			queue.connect(1)
 			submitAndTake := func(order assign.Order) Call {
-				q.Submit([]assign.Order{order})
-				call, _, _ := q.take()
+				queue.Submit([]assign.Order{order})
+				call, _, _ := queue.take()
 				return call
 			}
 			submitAndTake(assign.AttachTable{Proxy: 1, Table: 1})
-			r := q.directory.connected[1]
-			r.messages = 0
-			giveBack(q, submitAndTake(assign.AttachTable{Proxy: 1, Table: 2}))
-			q.stopWaiting()
-			r.messages = 0
-			q.dropAll()
+			reached := queue.directory.connected[1]
+			reached.messages = 0
+			giveBack(queue, submitAndTake(assign.AttachTable{Proxy: 1, Table: 2}))
+			queue.stopWaiting()
+			reached.messages = 0
+			queue.dropAll()
 			for i := range 4 {
 				table := 1 + i%2 // it may use either
 				call := submitAndTake(assign.SetWeight{Table: table, Endpoint: "t", Weight: float64(i + 1)})
 				if held := i >= 2; held != (len(call.Orders) == 0) {
 					t.Errorf("order %d for table %d, of two messages: call %v", i, table, call.Orders)
 				}
-				q.dropAll()
+				queue.dropAll()
 			}
-			r.messages = 0
+			reached.messages = 0
 			submitAndTake(assign.AttachTable{Proxy: 1, Table: 2})
-			r.messages = 2
+			reached.messages = 2
 			if call := submitAndTake(assign.SetWeight{Table: 1, Endpoint: "t", Weight: 9}); len(call.Orders) == 0 {
 				t.Error("it uses table 2 alone, and orders for table 1 are held")
 			}
--- a/internal/orderqueue/recipients.go
+++ b/internal/orderqueue/recipients.go
@@ -61,22 +61,22 @@
 }
 
 // setTables sets the tables that a proxy may use for some request classes.
-func (d *directory) setTables(r *recipient, classes string, tables ...int) {
-	before := r.tables[classes]
-	r.tables[classes] = tables
+func (d *directory) setTables(reached *recipient, classes string, tables ...int) {
+	before := reached.tables[classes]
+	reached.tables[classes] = tables
 	if len(tables) == 0 {
-		delete(r.tables, classes)
+		delete(reached.tables, classes)
 	}
 	for _, table := range before {
-		if !r.uses(table) {
-			d.removeUser(table, r)
+		if !reached.uses(table) {
+			d.removeUser(table, reached)
 		}
 	}
 	for _, table := range tables {
 		if d.users[table] == nil {
 			d.users[table] = map[*recipient]struct{}{}
 		}
-		d.users[table][r] = struct{}{}
+		d.users[table][reached] = struct{}{}
 	}
 }
 
@@ -130,34 +130,34 @@
 }
 
 // forEachReached calls f with the proxies that an order reaches.
-func (d *directory) forEachReached(order assign.Order, f func(*recipient)) {
+func (d *directory) forEachReached(order assign.Order, visit func(*recipient)) {
 	switch o := order.(type) {
 	case assign.AttachTable:
 		if r := d.connected[o.Proxy]; r != nil {
-			f(r)
+			visit(r)
 		}
 	case assign.SetWeight:
-		d.forEachUser(o.Table, f)
+		d.forEachUser(o.Table, visit)
 	case assign.ClearTable:
-		d.forEachUser(o.Table, f)
+		d.forEachUser(o.Table, visit)
 	case assign.SetRateLimit:
-		d.forEachUser(o.Table, f)
+		d.forEachUser(o.Table, visit)
 	default:
-		d.forEachUser(assign.AllProxies, f)
+		d.forEachUser(assign.AllProxies, visit)
 	}
 }
 
 // forEachUser calls f with the users of a table, or of any.
-func (d *directory) forEachUser(table int, f func(*recipient)) {
+func (d *directory) forEachUser(table int, visit func(*recipient)) {
 	if table != assign.AllProxies {
 		for r := range d.users[table] {
-			f(r)
+			visit(r)
 		}
 		return
 	}
 	for _, r := range d.connected {
 		if len(r.tables) > 0 {
-			f(r)
+			visit(r)
 		}
 	}
 }
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -74,9 +74,9 @@
 }
 
 func (h *Host) receive(message simproto.Message) error {
-	switch m := message.(type) {
+	switch message := message.(type) {
 	case simproto.BatchStart:
-		h.batch = &m
+		h.batch = &message
 		h.events = h.events[:0]
 	case simproto.BatchEnd:
 		return h.endBatch()
@@ -84,18 +84,18 @@
 		if err := h.decide(); err != nil { // what came before belongs to the former incarnation
 			return err
 		}
-		h.instances[m.Instance] = assign.New(m.Seed, m.Config)
+		h.instances[message.Instance] = assign.New(message.Seed, message.Config)
 	case simproto.HaltInstance:
 		if err := h.decide(); err != nil {
 			return err
 		}
-		delete(h.instances, m.Instance)
+		delete(h.instances, message.Instance)
 	case simproto.InstanceEvent:
-		if h.instances[m.Instance] == nil {
-			h.diagnose("line %d: no instance %d", h.line, m.Instance)
+		if h.instances[message.Instance] == nil {
+			h.diagnose("line %d: no instance %d", h.line, message.Instance)
 			return nil
 		}
-		h.collect(m)
+		h.collect(message)
 	}
 	return nil
 }
--- a/internal/simproto/decode.go
+++ b/internal/simproto/decode.go
@@ -69,43 +69,43 @@
 
 // parse reads all values but the one at exactField of the messages that have one.
 func parse(name string, raw []json.RawMessage) *fields {
-	f := &fields{message: name, values: make([]any, len(raw))}
+	message := &fields{message: name, values: make([]any, len(raw))}
 	hasExact := name == openInstanceName || name == batchStartName
 	for i, value := range raw {
 		if hasExact && i == exactField {
 			continue
 		}
-		if err := json.Unmarshal(value, &f.values[i]); err != nil {
-			f.fail(i, "a JSON value")
+		if err := json.Unmarshal(value, &message.values[i]); err != nil {
+			message.fail(i, "a JSON value")
 		}
 	}
-	return f
+	return message
 }
 
 func decodeBatchStart(raw []json.RawMessage) (Message, error) {
-	f := parse(batchStartName, raw)
-	start := BatchStart{Now: f.number(0) / millisecondsPerSecond}
+	message := parse(batchStartName, raw)
+	start := BatchStart{Now: message.number(0) / millisecondsPerSecond}
 	if len(raw) > exactField {
 		start.Batch = json.Number(raw[exactField])
 	}
 	if _, err := start.Batch.Int64(); err != nil {
-		f.fail(exactField, "a whole number")
+		message.fail(exactField, "a whole number")
 	}
-	return start, f.err
+	return start, message.err
 }
 
 func (d *Decoder) decodeOpenInstance(raw []json.RawMessage) (Message, error) {
-	f := parse(openInstanceName, raw)
-	open := OpenInstance{Instance: f.count(0)}
+	message := parse(openInstanceName, raw)
+	open := OpenInstance{Instance: message.count(0)}
 	if len(raw) > exactField && json.Unmarshal(raw[exactField], &open.Seed) != nil {
-		f.fail(exactField, "a whole number")
+		message.fail(exactField, "a whole number")
 	}
-	object, ok := f.at(2).(map[string]any)
+	object, ok := message.at(2).(map[string]any)
 	if !ok {
-		f.fail(2, "an object")
+		message.fail(2, "an object")
 	}
-	if f.err != nil {
-		return nil, f.err
+	if message.err != nil {
+		return nil, message.err
 	}
 	open.Config = settings.Translate(object)
 	d.metrics[open.Instance] = open.Config.Reports.LoadMetrics
@@ -113,56 +113,56 @@
 }
 
 func (d *Decoder) decodeInstanceMessage(name string, raw []json.RawMessage) (Message, error) {
-	f := parse(name, raw)
+	message := parse(name, raw)
 	if name == "halt" {
-		return HaltInstance{f.count(0)}, f.err
+		return HaltInstance{message.count(0)}, message.err
 	}
-	instance := f.count(0)
-	event, known := d.event(f, instance)
+	instance := message.count(0)
+	event, known := d.event(message, instance)
 	if !known {
 		return UnknownMessage{name}, nil
 	}
-	return InstanceEvent{instance, event}, f.err
+	return InstanceEvent{instance, event}, message.err
 }
 
 // event reads the event that a message of an instance holds, if its name is known.
-func (d *Decoder) event(f *fields, instance int) (event assign.Event, known bool) {
-	switch f.message {
+func (d *Decoder) event(message *fields, instance int) (event assign.Event, known bool) {
+	switch message.message {
 	case "update":
-		return endpointUpdate(f), true
+		return endpointUpdate(message), true
 	case "tally":
-		return assign.EndpointLoadReport{Zone: f.text(1), MeanLatency: f.seconds(2), Failed: f.count(3),
-			Interval: f.seconds(4), Endpoint: f.text(5), Attempts: f.count(6), Load: d.load(f, instance, 7)}, true
+		return assign.EndpointLoadReport{Zone: message.text(1), MeanLatency: message.seconds(2), Failed: message.count(3),
+			Interval: message.seconds(4), Endpoint: message.text(5), Attempts: message.count(6), Load: d.load(message, instance, 7)}, true
 	case "usage":
-		return assign.ProxyTrafficReport{Interval: f.seconds(1), Proxy: f.id(2), Requests: f.count(3),
-			Failed: f.count(4), RequestClass: f.text(5)}, true
+		return assign.ProxyTrafficReport{Interval: message.seconds(1), Proxy: message.id(2), Requests: message.count(3),
+			Failed: message.count(4), RequestClass: message.text(5)}, true
 	case "heat":
-		return assign.ShardTrafficReport{Failed: f.count(1), RequestClass: f.text(2), Requests: f.count(3),
-			Interval: f.seconds(4), Shard: f.id(5)}, true
+		return assign.ShardTrafficReport{Failed: message.count(1), RequestClass: message.text(2), Requests: message.count(3),
+			Interval: message.seconds(4), Shard: message.id(5)}, true
 	case "connected":
-		return assign.ProxyConnected{Proxy: f.id(1), Zone: f.text(2), TypicalRate: f.notNegative(3), Fresh: f.flag(4)}, true
+		return assign.ProxyConnected{Proxy: message.id(1), Zone: message.text(2), TypicalRate: message.notNegative(3), Fresh: message.flag(4)}, true
 	case "left":
-		return assign.ProxyDisconnected{Proxy: f.id(1)}, true
+		return assign.ProxyDisconnected{Proxy: message.id(1)}, true
 	case "receipt":
-		return assign.Acknowledged{Latency: f.seconds(1), Proxy: f.id(2), Sequence: f.id(3)}, true
+		return assign.Acknowledged{Latency: message.seconds(1), Proxy: message.id(2), Sequence: message.id(3)}, true
 	case "given":
-		return assign.ShardAssigned{Assigned: f.flag(1), Shard: f.id(2)}, true
+		return assign.ShardAssigned{Assigned: message.flag(1), Shard: message.id(2)}, true
 	case "held":
-		return assign.ShardEntry{Shard: f.id(1), Endpoint: f.text(2), Weight: f.notNegative(3)}, true
+		return assign.ShardEntry{Shard: message.id(1), Endpoint: message.text(2), Weight: message.notNegative(3)}, true
 	case "statusBack":
-		return assign.HealthCheckResult{Endpoint: f.text(1), Code: f.text(2), Latency: f.seconds(3),
-			Load: d.load(f, instance, 4)}, true
+		return assign.HealthCheckResult{Endpoint: message.text(1), Code: message.text(2), Latency: message.seconds(3),
+			Load: d.load(message, instance, 4)}, true
 	case "datagram":
-		return assign.PeerMessageReceived{From: f.count(1), Data: f.bytes(2)}, true
+		return assign.PeerMessageReceived{From: message.count(1), Data: message.bytes(2)}, true
 	case "ring":
-		return assign.TimerFired{ID: f.integer(1)}, true
+		return assign.TimerFired{ID: message.integer(1)}, true
 	}
 	return nil, false
 }
 
 // load reads a load report in the module's units.
-func (d *Decoder) load(f *fields, instance, i int) []float64 {
-	values := f.loadReport(i)
+func (d *Decoder) load(message *fields, instance, i int) []float64 {
+	values := message.loadReport(i)
 	for column, metric := range d.metrics[instance] {
 		if column < len(values) {
 			values[column] = settings.LoadValue(metric, values[column])
@@ -171,9 +171,9 @@
 	return values
 }
 
-func endpointUpdate(f *fields) assign.EndpointUpdate {
-	update := assign.EndpointUpdate{Version: f.integer(1)}
-	switch f.text(2) {
+func endpointUpdate(message *fields) assign.EndpointUpdate {
+	update := assign.EndpointUpdate{Version: message.integer(1)}
+	switch message.text(2) {
 	case updateDelta:
 	case updateFull, updateCatchUp:
 		update.Full = true
@@ -181,44 +181,44 @@
 		update.Failed = true
 		return update
 	default:
-		f.fail(2, updateModeText)
+		message.fail(2, updateModeText)
 	}
-	rows, ok := f.at(3).([]any)
+	rows, ok := message.at(3).([]any)
 	if !ok {
-		f.fail(3, "entries")
+		message.fail(3, "entries")
 	}
 	for n, row := range rows {
 		values, ok := row.([]any)
 		if !ok {
-			f.fail(3, "entries that are arrays")
+			message.fail(3, "entries that are arrays")
 			break
 		}
-		entry := &fields{message: fmt.Sprintf("%s: entry %d", f.message, n), values: values}
+		entry := &fields{message: fmt.Sprintf("%s: entry %d", message.message, n), values: values}
 		update.Endpoints = append(update.Endpoints, endpoint(entry))
-		if entry.err != nil && f.err == nil {
-			f.err = entry.err
+		if entry.err != nil && message.err == nil {
+			message.err = entry.err
 		}
 	}
 	return update
 }
 
-func endpoint(f *fields) assign.Endpoint {
-	e := assign.Endpoint{Zone: f.text(0), Group: f.integer(1), Name: f.text(2), Weight: f.notNegative(3)}
-	switch f.text(4) {
+func endpoint(message *fields) assign.Endpoint {
+	entry := assign.Endpoint{Zone: message.text(0), Group: message.integer(1), Name: message.text(2), Weight: message.notNegative(3)}
+	switch message.text(4) {
 	case stateReady:
-		e.State = assign.Ready
+		entry.State = assign.Ready
 	case stateDraining:
-		e.State = assign.Draining
+		entry.State = assign.Draining
 	case stateRemoved:
-		e.State = assign.Removed
+		entry.State = assign.Removed
 	default:
-		f.fail(4, "a mode")
+		message.fail(4, "a mode")
 	}
-	if f.at(5) != nil {
-		e.StartedAt = f.seconds(5)
+	if message.at(5) != nil {
+		entry.StartedAt = message.seconds(5)
 	}
-	if f.at(6) != nil {
-		e.MachineType = f.text(6)
+	if message.at(6) != nil {
+		entry.MachineType = message.text(6)
 	}
-	return e
+	return entry
 }
--- a/internal/simproto/encode.go
+++ b/internal/simproto/encode.go
@@ -20,29 +20,29 @@
 
 // values gives an order's message: its name, the instance and the rest in the protocol's order; nil if there is none.
 func values(instance int, order assign.Order) []any {
-	switch o := order.(type) {
+	switch order := order.(type) {
 	case assign.SetWeight:
-		return []any{"setLine", instance, o.Table, decimal(o.Weight), o.Endpoint}
+		return []any{"setLine", instance, order.Table, decimal(order.Weight), order.Endpoint}
 	case assign.ClearTable:
-		return []any{"wipe", instance, o.Table}
+		return []any{"wipe", instance, order.Table}
 	case assign.AttachTable:
-		return []any{"handTable", instance, o.Proxy, o.Table, classMask(o.RequestClasses)}
+		return []any{"handTable", instance, order.Proxy, order.Table, classMask(order.RequestClasses)}
 	case assign.SetRateLimit:
-		return []any{"gateClass", instance, o.Retries, decimal(o.Limit), o.Table, classMask(o.RequestClasses)}
+		return []any{"gateClass", instance, order.Retries, decimal(order.Limit), order.Table, classMask(order.RequestClasses)}
 	case assign.EjectEndpoint:
-		return []any{"withdraw", instance, o.Ejected, o.Endpoint}
+		return []any{"withdraw", instance, order.Ejected, order.Endpoint}
 	case assign.AcknowledgmentRequest:
-		return []any{"nonce", instance, o.Sequence, o.AllProxies}
+		return []any{"nonce", instance, order.Sequence, order.AllProxies}
 	case assign.SetTimer:
-		return []any{"after", instance, decimal(o.Delay * millisecondsPerSecond), o.ID}
+		return []any{"after", instance, decimal(order.Delay * millisecondsPerSecond), order.ID}
 	case assign.Log:
-		return []any{"journalLine", instance, o.Message}
+		return []any{"journalLine", instance, order.Message}
 	case assign.HealthCheck:
-		return []any{"inspect", instance, o.Endpoint}
+		return []any{"inspect", instance, order.Endpoint}
 	case assign.SendPeerMessage:
-		return []any{"publish", instance, o.To, base64.StdEncoding.EncodeToString(o.Data)}
+		return []any{"publish", instance, order.To, base64.StdEncoding.EncodeToString(order.Data)}
 	case assign.WatchEndpoints:
-		return []any{"track", instance, o.Enabled}
+		return []any{"track", instance, order.Enabled}
 	case assign.FetchEndpoints:
 		return []any{"getList", instance}
 	}
--- a/internal/simproto/simproto_test.go
+++ b/internal/simproto/simproto_test.go
@@ -110,7 +110,7 @@
 }
 
 func TestEncode(t *testing.T) {
-	for want, o := range map[string]assign.Order{
+	for want, order := range map[string]assign.Order{
 		`["setLine",3,117,0.75,"a:1"]`:  assign.SetWeight{Table: 117, Endpoint: "a:1", Weight: 0.75},
 		`["handTable",3,41,117,6]`:      assign.AttachTable{Proxy: 41, Table: 117, RequestClasses: []int{1, 2}},
 		`["gateClass",3,1,2.5,65535,0]`: assign.SetRateLimit{Table: assign.AllProxies, Limit: 2.5, Retries: 1},
@@ -124,7 +124,7 @@
 		`["track",3,true]`:              assign.WatchEndpoints{Enabled: true},
 		`["getList",3]`:                 assign.FetchEndpoints{},
 	} {
-		if got, err := Encode(3, o); err != nil || string(got) != want {
+		if got, err := Encode(3, order); err != nil || string(got) != want {
 			t.Errorf("got %s (%v), want %s", got, err, want)
 		}
 	}
