--- a/assign/digest_test.go
+++ b/assign/digest_test.go
@@ -71,10 +71,10 @@
 // playOverloadDay brings a wide overload and its end.
 func playOverloadDay(t *testing.T) *model {
 	t.Helper()
-	m := calmModel(t)
-	m.run(12, 2.5)
-	m.run(40, 0.3)
-	return m
+	sim := calmModel(t)
+	sim.run(12, 2.5)
+	sim.run(40, 0.3)
+	return sim
 }
 
 // playReleaseDay digests six seconds of a release in a large fleet.
--- a/assign/health_test.go
+++ b/assign/health_test.go
@@ -26,14 +26,14 @@
 		{meanLatency: 0, meanFailureRatio: 0.1, failed: 40, minWeight: probationWeight, maxWeight: probationWeight},
 		{meanLatency: 0, meanFailureRatio: 0.9, failed: 40, minWeight: 0.5, maxWeight: 0.9},
 	} {
-		m := calmModel(t)
-		e := m.assigner.endpoints["t0"]
+		sim := calmModel(t)
+		e := sim.assigner.endpoints["t0"]
 		health := e.healthIn("x")
-		e.addReport(m.assigner, EndpointLoadReport{Zone: "x", Endpoint: "t0", Interval: 1, MeanLatency: test.meanLatency, Attempts: 40, Failed: test.failed})
-		health.assess(m.assigner)
-		m.assigner.split.meanFailureRatio = test.meanFailureRatio
+		e.addReport(sim.assigner, EndpointLoadReport{Zone: "x", Endpoint: "t0", Interval: 1, MeanLatency: test.meanLatency, Attempts: 40, Failed: test.failed})
+		health.assess(sim.assigner)
+		sim.assigner.split.meanFailureRatio = test.meanFailureRatio
 		health.nextChange = 0
-		e.reduceWeight(m.assigner, health)
+		e.reduceWeight(sim.assigner, health)
 		if health.weight < test.minWeight || health.weight > test.maxWeight {
 			t.Errorf("%+v: weight %v", test, health.weight)
 		}
--- a/assign/overload_test.go
+++ b/assign/overload_test.go
@@ -20,14 +20,14 @@
 		{endpoints: 3, attempts: 9, failed: 6, meanLatency: 0.9, busy: 0.95},
 		{endpoints: 4, attempts: 60, failed: 6, meanLatency: 0.9, busy: 0.5, oldBusy: 1},
 	} {
-		m := calmModel(t)
-		for _, e := range m.assigner.endpointList {
-			e.busy, e.lastAnsweredAt = test.oldBusy, m.now-5
+		sim := calmModel(t)
+		for _, e := range sim.assigner.endpointList {
+			e.busy, e.lastAnsweredAt = test.oldBusy, sim.now-5
 		}
 		for range 5 {
-			m.reportAll(test.endpoints, 0.8, EndpointLoadReport{MeanLatency: test.meanLatency, Attempts: test.attempts, Failed: test.failed, Load: []float64{test.busy}})
+			sim.reportAll(test.endpoints, 0.8, EndpointLoadReport{MeanLatency: test.meanLatency, Attempts: test.attempts, Failed: test.failed, Load: []float64{test.busy}})
 		}
-		if got := m.assigner.split.total > 0; got != test.want {
+		if got := sim.assigner.split.total > 0; got != test.want {
 			t.Errorf("%+v: a total is set: %v", test, got)
 		}
 	}
@@ -35,12 +35,12 @@
 
 // A total set in a jam is far too low: once endpoints answer well and stay idle, it must not take a tenth a second back.
 func TestTotalRecoversFromAJam(t *testing.T) {
-	m := calmModel(t)
-	m.assigner.split.total = 2
+	sim := calmModel(t)
+	sim.assigner.split.total = 2
 	for range 4 {
-		m.reportAll(15, 1, EndpointLoadReport{MeanLatency: 0.1, Attempts: 2, Load: []float64{0.3}})
+		sim.reportAll(15, 1, EndpointLoadReport{MeanLatency: 0.1, Attempts: 2, Load: []float64{0.3}})
 	}
-	if total := m.assigner.split.total; total > 0 && total < 50 {
+	if total := sim.assigner.split.total; total > 0 && total < 50 {
 		t.Errorf("endpoints three tenths busy with 30 requests a second get a total of %.1f", total)
 	}
 }
--- a/assign/proxies_test.go
+++ b/assign/proxies_test.go
@@ -8,23 +8,23 @@
 // calmModel is a model in which all proxies have connected with their default tables only and all is well.
 func calmModel(t *testing.T) *model {
 	t.Helper()
-	m := newModel(1)
-	m.start()
-	for _, p := range m.proxies {
-		m.connect(p)
-		m.step(0.05)
+	sim := newModel(1)
+	sim.start()
+	for _, p := range sim.proxies {
+		sim.connect(p)
+		sim.step(0.05)
 	}
-	m.run(10, 0.4)
-	if m.violation != "" {
-		t.Fatal(m.violation)
+	sim.run(10, 0.4)
+	if sim.violation != "" {
+		t.Fatal(sim.violation)
 	}
-	return m
+	return sim
 }
 
 func TestDefaultTablesStayWhileAllIsWell(t *testing.T) {
-	m := calmModel(t)
-	for _, p := range m.proxies {
-		if p.zone != "z" && m.record(p.id).hasAssignedTables {
+	sim := calmModel(t)
+	for _, p := range sim.proxies {
+		if p.zone != "z" && sim.record(p.id).hasAssignedTables {
 			t.Errorf("proxy %d left its default table", p.id)
 		}
 	}
@@ -32,11 +32,11 @@
 
 // A class that is closed in a zone has its default table elsewhere; a drain there must reach it.
 func TestDrainReachesRemoteDefaultTables(t *testing.T) {
-	m := calmModel(t)
-	m.endpoints[0].State = Draining // in x; proxies of z send "sign" to x or y
-	m.update(m.endpoints[0])
-	if m.idle(3); m.violation != "" {
-		t.Error(m.violation)
+	sim := calmModel(t)
+	sim.endpoints[0].State = Draining // in x; proxies of z send "sign" to x or y
+	sim.update(sim.endpoints[0])
+	if sim.idle(3); sim.violation != "" {
+		t.Error(sim.violation)
 	}
 }
 
@@ -93,11 +93,11 @@
 // Beside warming endpoints a rate of one request in a second or two is mostly chance: a limit close to it would reject a
 // third of them.
 func TestLimitBesideWarmingEndpointsLeavesRoomForChance(t *testing.T) {
-	m := calmModel(t)
-	p := m.record(0)
+	sim := calmModel(t)
+	p := sim.record(0)
 	p.rates = []float64{0.5, 0.5, 0.5}
 	p.typicalRate = 1.5
-	if orders := p.limitOrders(m.assigner, m.signGroup(), 0, 1); orders[0].Limit < 2 {
+	if orders := p.limitOrders(sim.assigner, sim.signGroup(), 0, 1); orders[0].Limit < 2 {
 		t.Errorf("the limit is %g/s", orders[0].Limit)
 	}
 }
--- a/assign/ratesplit_test.go
+++ b/assign/ratesplit_test.go
@@ -33,17 +33,17 @@
 }
 
 func TestUnusedQuotaMovesInEqualPieces(t *testing.T) {
-	m := calmModel(t)
-	members := m.assigner.split.members(m.assigner)
-	m.assigner.split.total = 80
+	sim := calmModel(t)
+	members := sim.assigner.split.members(sim.assigner)
+	sim.assigner.split.total = 80
 	for i, p := range members {
 		p.quota, p.rates = 1/float64(len(members)), []float64{4, 0, 0}
 		if i < 2 {
 			p.rates[0] = 30
 		}
 	}
-	m.assigner.send(splitTick{})
-	m.assigner.drain()
+	sim.assigner.send(splitTick{})
+	sim.assigner.drain()
 	if math.Abs(members[0].quota-members[1].quota) > 1e-9 || members[0].quota < 0.3 || members[5].quota > 0.08 {
 		t.Errorf("quotas %v, %v and %v", members[0].quota, members[1].quota, members[5].quota)
 	}
