deploy/sites/lay.py: typed, documented, with errors and a usage text

It was one function of nested cases without types. Variants are made by a small class now, a change that meets nothing is a named error, and wrong arguments print the usage (exit 2), a missing site one line (exit 1).

--- a/deploy/sites/lay.py
+++ b/deploy/sites/lay.py
@@ -1,18 +1,26 @@
 #!/usr/bin/env python3
-"""Lays two deployments beside the users' own, for the bench: lay.py SITE [FOLDER].
+"""Make variants of a deployment for the operators' bench.
 
-SITE is a site file of the users' kit. Of it only the lines named below are changed; the results, with
-the files that the bench wants beside them, go into FOLDER (deploy/sites/laid, which git ignores).
+usage: lay.py SITE [FOLDER]
+
+SITE is a site file (TOML) of the operators' kit. Each variant below is that file with some lines changed, so that the
+program is also played on deployments that it was never tuned on. The variants, with the files that the bench wants
+beside a site, are written into FOLDER; by default that is deploy/sites/laid, which git ignores.
 """
+
 import pathlib
 import re
 import shutil
 import sys
 
-# What is changed, by the file's sections: `name[i]` is the i-th section of that name. None takes a line out, and a
-# whole section where no key is named.
-SITES = {
-    # No zones to speak of, one class that may not be repeated, admission by share, no limit on messages.
+# Changes to a site file, by place. A place is `section.key`, or `section[i]` for all of the i-th section of a list of
+# sections. The value is the new text of a key, None to take the line or section out, or the keys of a section that is
+# added behind the last one of its list.
+Section = dict[str, str]
+Changes = dict[str, str | Section | None]
+
+VARIANTS: dict[str, Changes] = {
+    # One zone, one class that is not idempotent, admission by ratio, no limit on messages.
     "harbour": {
         "name": '"harbour"',
         "net.zones": '["quay"]',
@@ -39,7 +47,7 @@
         "prices.waste": "0.01",
         "rules.fall_multiple": "2",
     },
-    # Four zones, five classes of which two share a name's beginning, tight messages, other deadlines and costs.
+    # Four zones, five classes of which two share a name's beginning, few messages, other deadlines and costs.
     "foundry": {
         "name": '"foundry"',
         "net.zones": '["z1", "z2", "z3", "z4"]',
@@ -57,12 +65,32 @@
         "class[2].name": '"pour"',
         "class[2].share": "[0.1, 0.2]",
         "class[2].worth": "9",
-        "class[3]": {"name": '"cool"', "share": "[0.1, 0.2]", "work_ms": "[200, 300]", "dist": '"lognormal"',
-                     "cv": "[0.5, 0.8]", "attempt_noise": "[0.1, 0.3]", "aim_ms": "2500", "deadline_ms": "5000",
-                     "worth": "0.5", "late_worth": "0.5", "effect": '"safe"'},
-        "class[4]": {"name": '"weigh"', "share": "[0.1, 0.2]", "work_ms": "[60, 90]", "dist": '"lognormal"',
-                     "cv": "[0.5, 0.8]", "attempt_noise": "[0.1, 0.3]", "aim_ms": "700", "deadline_ms": "1800",
-                     "worth": "2", "late_worth": "0", "effect": '"safe"'},
+        "class[3]": {
+            "name": '"cool"',
+            "share": "[0.1, 0.2]",
+            "work_ms": "[200, 300]",
+            "dist": '"lognormal"',
+            "cv": "[0.5, 0.8]",
+            "attempt_noise": "[0.1, 0.3]",
+            "aim_ms": "2500",
+            "deadline_ms": "5000",
+            "worth": "0.5",
+            "late_worth": "0.5",
+            "effect": '"safe"',
+        },
+        "class[4]": {
+            "name": '"weigh"',
+            "share": "[0.1, 0.2]",
+            "work_ms": "[60, 90]",
+            "dist": '"lognormal"',
+            "cv": "[0.5, 0.8]",
+            "attempt_noise": "[0.1, 0.3]",
+            "aim_ms": "700",
+            "deadline_ms": "1800",
+            "worth": "2",
+            "late_worth": "0",
+            "effect": '"safe"',
+        },
         "tier.report.fields": '["inflight", "util"]',
         "tier[0].weights": '"none"',
         "allow.retry_after": "false",
@@ -79,54 +107,110 @@
     },
 }
 
-BESIDE = ("real.json", "wire.json", "unlock.txt")
+# Files that the bench wants beside a site.
+COMPANIONS = ("real.json", "wire.json", "unlock.txt")
+
+# Permissions of the copies: the kit's own are not writable.
+FILE_MODE = 0o644
+
 
+class UnusedChange(Exception):
+    """A change names a line or section that the site file does not have."""
 
-def lay(text, changes):
-    """Gives the text with its changes; each of them must meet a line or a section."""
-    changes = dict(changes)
-    counts, out, section, skipped, last = {}, [], "", False, {}
 
-    def flush_new():
-        for key in [k for k, v in changes.items() if isinstance(v, dict)]:
-            name, index = re.fullmatch(r"(\w+)\[(\d+)\]", key).groups()
-            if last.get(name) == int(index) - 1 and section.startswith(name + "["):
-                out.append(f"\n[[{name}]]")
-                out.extend(f"{k} = {v}" for k, v in changes.pop(key).items())
-                last[name] = int(index)
+class Variant:
+    """One variant under construction: the lines written so far and the changes that have not met their line yet."""
 
-    for line in text.splitlines():
+    def __init__(self, changes: Changes) -> None:
+        self.pending = dict(changes)
+        self.lines: list[str] = []
+        self.section = ""  # that the next line belongs to, `name[i]` in a list of sections
+        self.removed = False  # the section is to be left out
+        self.counts: dict[str, int] = {}  # sections seen, by the name of their list
+
+    def add(self, line: str) -> None:
+        """Take in one line of the site file."""
         if head := re.fullmatch(r"\[\[(.+)\]\]", line):
-            flush_new()
-            name = head[1]
-            counts[name] = counts.get(name, -1) + 1
-            section, last[name] = f"{name}[{counts[name]}]", counts[name]
-            skipped = changes.pop(section, "") is None
+            self._begin_listed_section(head[1])
         elif head := re.fullmatch(r"\[(.+)\]", line):
-            flush_new()
-            section, skipped = head[1], False
+            self._add_new_sections()
+            self.section, self.removed = head[1], False
         elif pair := re.match(r"(\w+) = ", line):
-            key = f"{section}.{pair[1]}" if section else pair[1]
-            if key in changes:
-                value = changes.pop(key)
-                line = None if value is None else f"{pair[1]} = {value}"
-        if line is not None and not skipped:
-            out.append(line)
-    if changes:
-        sys.exit(f"no such line or section: {', '.join(changes)}")
-    return "\n".join(out) + "\n"
-
-
-def main():
-    site = pathlib.Path(sys.argv[1])
-    to = pathlib.Path(sys.argv[2]) if len(sys.argv) > 2 else pathlib.Path(__file__).parent / "laid"
-    to.mkdir(parents=True, exist_ok=True)
-    source = site.read_text()
-    for name, changes in SITES.items():
-        (to / f"{name}.toml").write_text(lay(source, changes))
-    for name in BESIDE:
-        shutil.copyfile(site.parent / name, to / name)
-        (to / name).chmod(0o644)
-
-
-main()
+            changed = self._changed(pair[1], line)
+            if changed is None:
+                return
+            line = changed
+        if not self.removed:
+            self.lines.append(line)
+
+    def text(self) -> str:
+        """Return the variant. Raises UnusedChange if a change met nothing."""
+        if self.pending:
+            raise UnusedChange(", ".join(self.pending))
+        return "\n".join(self.lines) + "\n"
+
+    def _begin_listed_section(self, name: str) -> None:
+        self._add_new_sections()
+        index = self.counts.get(name, 0)
+        self.counts[name] = index + 1
+        self.section = f"{name}[{index}]"
+        self.removed = self.pending.pop(self.section, "") is None
+
+    def _add_new_sections(self) -> None:
+        """Write the sections that come behind the last one of the list that ends here."""
+        for place, keys in list(self.pending.items()):
+            match = re.fullmatch(r"(\w+)\[(\d+)\]", place)
+            if not match or not isinstance(keys, dict):
+                continue
+            name, index = match[1], int(match[2])
+            if self.counts.get(name, 0) == index and self.section.startswith(name + "["):
+                self.lines.append(f"\n[[{name}]]")
+                self.lines.extend(f"{key} = {value}" for key, value in keys.items())
+                self.counts[name] = index + 1
+                del self.pending[place]
+
+    def _changed(self, key: str, line: str) -> str | None:
+        """Return the line for a key, or None if it is taken out."""
+        place = f"{self.section}.{key}" if self.section else key
+        if place not in self.pending:
+            return line
+        value = self.pending.pop(place)
+        return None if value is None else f"{key} = {value}"
+
+
+def make_variant(site: str, changes: Changes) -> str:
+    """Return a site file's text with changes. Raises UnusedChange if one of them meets no line or section."""
+    variant = Variant(changes)
+    for line in site.splitlines():
+        variant.add(line)
+    return variant.text()
+
+
+def write_variants(site: pathlib.Path, folder: pathlib.Path) -> None:
+    """Write all variants of a site, and the files that the bench wants beside them, into a folder."""
+    folder.mkdir(parents=True, exist_ok=True)
+    text = site.read_text()
+    for name, changes in VARIANTS.items():
+        (folder / f"{name}.toml").write_text(make_variant(text, changes))
+    for name in COMPANIONS:
+        shutil.copyfile(site.parent / name, folder / name)
+        (folder / name).chmod(FILE_MODE)
+
+
+def main(arguments: list[str]) -> int:
+    """Run the program and return its exit code."""
+    if not 1 <= len(arguments) <= 2:
+        print(__doc__, file=sys.stderr)
+        return 2
+    default = pathlib.Path(__file__).parent / "laid"
+    folder = pathlib.Path(arguments[1]) if len(arguments) == 2 else default
+    try:
+        write_variants(pathlib.Path(arguments[0]), folder)
+    except (OSError, UnusedChange) as error:
+        print(f"lay.py: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
