--- a/assign/tables.go
+++ b/assign/tables.go
@@ -17,8 +17,8 @@
 	for _, other := range assigner.zones {
 		peakWeight += other.peakWeight
 	}
-	usualWeight := peakWeight / math.Max(1, float64(len(assigner.zones)))
 	plan.remainingCapacity = found.total / math.Max(peakWeight, minDivisor)
+	usualWeight := peakWeight / math.Max(1, float64(len(assigner.zones)))
 	if found.local > 0 {
 		if z.peakWeight > usualWeight/2 { // else it is coming back and was never seen whole
 			usualWeight = z.peakWeight
@@ -26,11 +26,7 @@
 		demand := plan.demand(assigner, z, found, usualWeight)
 		plan.remoteFraction = math.Max(z.spillover, 1-found.local/demand)
 	}
-	for _, c := range plan.candidates { // what a table of full size carries, if there are more endpoints
-		plan.fullTableWeight += c.endpoint.listedWeight * tableSize / float64(len(plan.candidates))
-		plan.byEndpoint[c.endpoint] = c
-	}
-	plan.fullTableWeight = math.Min(usualWeight, plan.fullTableWeight)
+	plan.indexCandidates(usualWeight)
 	for _, p := range assigner.proxies {
 		if p.hasAssignedTables && p.connected {
 			plan.addLoad(p.tables[group.index], p.typicalRate)
@@ -39,26 +35,36 @@
 	return plan
 }
 
+// indexCandidates makes the candidates known by endpoint, and sets what a table carries at most: the zone's
+// usual weight, or what a full table does where there are more endpoints.
+func (plan *tablePlan) indexCandidates(usualWeight float64) {
+	for _, c := range plan.candidates {
+		plan.fullTableWeight += c.endpoint.listedWeight * tableSize / float64(len(plan.candidates))
+		plan.byEndpoint[c.endpoint] = c
+	}
+	plan.fullTableWeight = math.Min(usualWeight, plan.fullTableWeight)
+}
+
 // collect finds the candidates. Warming endpoints are warmed up by their own zone's proxies, which know
 // what they bring there; none gets an entry while the warm ones of the zone fail most attempts, as proxies
 // avoid what fails them and would all press on the few. Where there is nothing else they have to do.
 func (plan *tablePlan) collect(assigner *Assigner, z *zone, group *tableGroup) (found supply) {
 	var lastResort []*candidate
 	for _, e := range assigner.endpointList {
-		chosen := newCandidate(assigner, e, z.name)
-		if chosen.weight <= 0 || !group.allows(e, z.name) {
+		option := newCandidate(assigner, e, z.name)
+		if option.weight <= 0 || !group.allows(e, z.name) {
 			continue
 		}
-		found.total += chosen.weight
-		if chosen.warming && (z.unhealthy || chosen.remote && !group.representative.closedIn(z.name)) {
-			lastResort = append(lastResort, chosen)
+		found.total += option.weight
+		if option.warming && (z.unhealthy || option.remote && !group.representative.closedIn(z.name)) {
+			lastResort = append(lastResort, option)
 			continue
 		}
-		if !chosen.remote {
-			found.local += chosen.weight
-			found.warming = found.warming || chosen.warming
+		if !option.remote {
+			found.local += option.weight
+			found.warming = found.warming || option.warming
 		}
-		plan.candidates = append(plan.candidates, chosen)
+		plan.candidates = append(plan.candidates, option)
 	}
 	if len(plan.candidates) == 0 {
 		plan.candidates = lastResort
