--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -5,13 +5,13 @@
 	"math/rand"
 	"slices"
 	"testing"
-	"testing/quick"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"madderhollow/assign"
 	"madderhollow/internal/eventqueue"
+	"madderhollow/internal/quickcheck"
 	"madderhollow/internal/testconfig"
 )
 
@@ -29,9 +29,7 @@
 			return x.id - y.id
 		})
 	}
-	if err := quick.Check(property, &quick.Config{Rand: rand.New(rand.NewSource(1))}); err != nil {
-		t.Error(err)
-	}
+	quickcheck.Seeds(t, 100, property)
 }
 
 func TestTimersAreBounded(t *testing.T) {
--- a/internal/orderqueue/queue_test.go
+++ b/internal/orderqueue/queue_test.go
@@ -5,12 +5,12 @@
 	"math/rand"
 	"reflect"
 	"testing"
-	"testing/quick"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"madderhollow/assign"
+	"madderhollow/internal/quickcheck"
 	"madderhollow/internal/testconfig"
 	"madderhollow/internal/wire"
 )
@@ -137,9 +137,7 @@
 		}
 		return true
 	}
-	if err := quick.Check(property, &quick.Config{MaxCount: 300, Rand: rand.New(rand.NewSource(1))}); err != nil {
-		t.Error(err)
-	}
+	quickcheck.Seeds(t, 300, property)
 }
 
 // An attachment that was not carried out, or may not have been, leaves its proxy on the table it had: orders for that
--- a/internal/relay/eventreader.go
+++ b/internal/relay/eventreader.go
@@ -239,9 +239,11 @@
 	return r.sink(ctx, event)
 }
 
+// disconnectUnnamed tells the module of the proxies that a snapshot has not named.
 func (r *EventReader) disconnectUnnamed(ctx context.Context, state *streamState) error {
 	for _, id := range slices.Sorted(maps.Keys(state.unnamed)) {
-		if err := r.disconnect(ctx, id); err != nil {
+		delete(r.connected, id)
+		if err := r.sink(ctx, assign.ProxyDisconnected{Proxy: id}); err != nil {
 			return err
 		}
 	}
--- a/internal/relay/eventreader_test.go
+++ b/internal/relay/eventreader_test.go
@@ -7,11 +7,11 @@
 	"slices"
 	"strings"
 	"testing"
-	"testing/quick"
 	"time"
 
 	"madderhollow/assign"
 	"madderhollow/internal/eventually"
+	"madderhollow/internal/quickcheck"
 	"madderhollow/internal/relaytest"
 )
 
@@ -138,9 +138,7 @@
 		}
 		return same
 	}
-	if err := quick.Check(property, &quick.Config{MaxCount: 8, Rand: rand.New(rand.NewSource(1))}); err != nil {
-		t.Error(err)
-	}
+	quickcheck.Seeds(t, 8, property)
 }
 
 // A proxy disconnects and connects anew between an attachment's going out and its acknowledgment: nobody can say which of
--- a/internal/relay/orderclient_test.go
+++ b/internal/relay/orderclient_test.go
@@ -8,11 +8,11 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/quick"
 	"time"
 
 	"madderhollow/assign"
 	"madderhollow/internal/eventually"
+	"madderhollow/internal/quickcheck"
 	"madderhollow/internal/relaytest"
 )
 
@@ -113,9 +113,7 @@
 		}
 		return same && !setup.overLimit()
 	}
-	if err := quick.Check(property, &quick.Config{MaxCount: 20, Rand: rand.New(rand.NewSource(1))}); err != nil {
-		t.Error(err)
-	}
+	quickcheck.Seeds(t, 20, property)
 }
 
 // An order that is not taken once, as the relay may know an endpoint or a proxy a moment later than we do, is not lost;
--- a/internal/reportserver/server_test.go
+++ b/internal/reportserver/server_test.go
@@ -12,7 +12,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/quick"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,6 +19,7 @@
 	"madderhollow/assign"
 	"madderhollow/internal/collectortest"
 	"madderhollow/internal/eventually"
+	"madderhollow/internal/quickcheck"
 	"madderhollow/internal/testconfig"
 	"madderhollow/internal/wire"
 )
@@ -159,9 +159,7 @@
 		}
 		return len(events) == 0
 	}
-	if err := quick.Check(property, &quick.Config{MaxCount: 20, Rand: rand.New(rand.NewSource(1))}); err != nil {
-		t.Error(err)
-	}
+	quickcheck.Seeds(t, 20, property)
 }
 
 // slowConn sends its bytes one by one.
--- a/internal/settings/any_settings_test.go
+++ b/internal/settings/any_settings_test.go
@@ -7,9 +7,9 @@
 	"math/rand"
 	"slices"
 	"testing"
-	"testing/quick"
 
 	"madderhollow/assign"
+	"madderhollow/internal/quickcheck"
 	"madderhollow/internal/settings"
 	"madderhollow/internal/testconfig"
 )
@@ -139,7 +139,5 @@
 		}
 		return true
 	}
-	if err := quick.Check(property, &quick.Config{MaxCount: 1000, Rand: rand.New(rand.NewSource(1))}); err != nil {
-		t.Error(err)
-	}
+	quickcheck.Seeds(t, 1000, property)
 }
--- a/internal/simproto/decode.go
+++ b/internal/simproto/decode.go
@@ -37,7 +37,8 @@
 	updateModeText = "D, F, C or X"
 )
 
-// Decoder turns lines into messages. It keeps the columns of load reports, which each instance is told at its start.
+// Decoder turns lines into messages. It keeps the columns of load reports, which an instance is told at its start; where it
+// is not, those of its former incarnation stand.
 type Decoder struct{ metrics map[int][]assign.LoadMetric }
 
 // NewDecoder returns a Decoder that knows no instance yet.
@@ -108,7 +109,9 @@
 		return nil, message.err
 	}
 	open.Config = settings.Translate(object)
-	d.metrics[open.Instance] = open.Config.Reports.LoadMetrics
+	if metrics := open.Config.Reports.LoadMetrics; metrics != nil {
+		d.metrics[open.Instance] = metrics
+	}
 	return open, nil
 }
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,10 +7,10 @@
 	"reflect"
 	"strings"
 	"testing"
-	"testing/quick"
 	"time"
 
 	"madderhollow/assign"
+	"madderhollow/internal/quickcheck"
 	"madderhollow/internal/testconfig"
 )
 
@@ -147,27 +147,28 @@
 
 // pieces gives a text in pieces of random size.
 type pieces struct {
-	rng  *rand.Rand
-	text string
+	random *rand.Rand
+	text   string
 }
 
 func (p *pieces) Read(b []byte) (int, error) {
 	if p.text == "" {
 		return 0, io.EOF
 	}
-	n := min(1+p.rng.Intn(9), len(p.text), len(b))
+	n := min(1+p.random.Intn(9), len(p.text), len(b))
 	copy(b, p.text[:n])
 	p.text = p.text[n:]
 	return n, nil
 }
 
-func events(r io.Reader) (l []string, err error) {
-	for s := NewStream(r); ; {
-		name, data, err := s.Next()
+// readEvents gives the events of a stream, name and data, and the error that ended it.
+func readEvents(r io.Reader) (events []string, err error) {
+	for stream := NewStream(r); ; {
+		name, data, err := stream.Next()
 		if err != nil {
-			return l, err
+			return events, err
 		}
-		l = append(l, name+"|"+data)
+		events = append(events, name+"|"+data)
 	}
 }
 
@@ -175,17 +176,15 @@
 func TestStreamInAnyPieces(t *testing.T) {
 	text := "\ufeffevent: joined\nid: 7\ndata: node=17&w=2\ndata:more\n\n:\n\n: hello\nevent:left\n:\ndata: node=17\nretry: 3\n\nevent: none\n\ndata\n\ndata: cut off"
 	want := []string{"joined|node=17&w=2\nmore", "|", "|", "left|node=17", "message|"}
-	f := func(seed int64) bool {
-		rng := rand.New(rand.NewSource(seed))
-		end := []string{"\n", "\r", "\r\n"}[rng.Intn(3)]
-		got, err := events(&pieces{rng, strings.ReplaceAll(text, "\n", end)})
+	property := func(seed int64) bool {
+		random := rand.New(rand.NewSource(seed))
+		end := []string{"\n", "\r", "\r\n"}[random.Intn(3)]
+		got, err := readEvents(&pieces{random, strings.ReplaceAll(text, "\n", end)})
 		return errors.Is(err, io.EOF) && reflect.DeepEqual(got, want)
 	}
-	if err := quick.Check(f, &quick.Config{MaxCount: 300, Rand: rand.New(rand.NewSource(1))}); err != nil {
-		t.Error(err)
-	}
+	quickcheck.Seeds(t, 300, property)
 	for _, endless := range []string{strings.Repeat("x", maxEventSize+1), strings.Repeat("data: "+strings.Repeat("x", 1000)+"\n", 70)} {
-		if got, err := events(strings.NewReader(endless)); len(got) > 0 || errors.Is(err, io.EOF) {
+		if got, err := readEvents(strings.NewReader(endless)); len(got) > 0 || errors.Is(err, io.EOF) {
 			t.Errorf("an endless event became %d events (%v)", len(got), err)
 		}
 	}
