--- a/assign/config.go
+++ b/assign/config.go
@@ -49,7 +49,7 @@
 
 // Config is what a deployment's settings say. DefaultConfig has the values of settings that are missing.
 type Config struct {
-	Zone               string   // of this assigner
+	Zone               string   // of this assigner; nothing decides by it yet
 	Zones              []string // all of them; none where the deployment has no zones
 	ProxyCount         float64  // proxies of the deployment, connected to any assigner; UnknownProxyCount if not stated
 	Shards             float64  // tables that belong to shards instead of proxies; above 0 no table is assigned
@@ -59,7 +59,7 @@
 	RemovalIsAdvisory  bool    // an endpoint that the list drops may go on serving
 	Retries            int     // further attempts that proxies usually make
 	MinBatchInterval   float64 // between two batches, s
-	MaxTimeWithoutPick float64 // that a proxy may be without an endpoint to pick, s
+	MaxTimeWithoutPick float64 // that a proxy may be without an endpoint to pick, s; nothing decides by it yet
 	PeerMessages       bool    // assigners may send each other messages
 	Channel            ChannelConfig
 	WarmUp             WarmUpConfig
@@ -69,13 +69,13 @@
 // RequestClassConfig is what the settings say of one class of requests. Orders and reports name a class by its position.
 type RequestClassConfig struct {
 	Name             string
-	Group            string // the endpoints that hold what the class asks for
+	Group            string // the endpoints that hold what the class asks for; nothing decides by it yet
 	PriorityWeight   float64
 	LatencyObjective float64 // answers later than this are worth less, s
 	Deadline         float64 // clients give up then, s; 0: not stated
 	AllowedZones     []string
-	OwnZoneOnly      bool // may not leave the proxy's zone
-	RetrySafety      RetrySafety
+	OwnZoneOnly      bool        // may not leave the proxy's zone
+	RetrySafety      RetrySafety // nothing decides by it yet: no order asks for a retry that could run twice
 }
 
 // ChannelConfig describes the channel that takes orders to the proxies.
