testserver: closing it no longer waits for its own lock

Six plays of all tests beside a busy machine hung once, in TestShutdownWhateverTheRelayDoes: Close held the lock while net/http's Server.Close waited for its accept loop, which was telling of a new connection through ConnState and wanted the same lock.

--- a/internal/testserver/testserver.go
+++ b/internal/testserver/testserver.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -90,12 +91,13 @@
 	return n
 }
 
-// Close ends it and all its connections.
+// Close ends it and all its connections. It waits for servers whose state changes need the lock.
 func (s *Server) Close() error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	servers := slices.Clone(s.servers)
+	s.mu.Unlock()
 	var err error
-	for _, server := range s.servers {
+	for _, server := range servers {
 		err = errors.Join(err, server.Close())
 	}
 	return err
