Last read: care worked out once, one way to give a call back, events forwarded in one order

zone.recompute asked twice whether an endpoint warms up; its care says so already. Queue.NotTaken was PartlyTaken from the first order written again. EventReader.forward told of unnamed proxies in three branches, now in one place.

--- a/assign/zones.go
+++ b/assign/zones.go
@@ -15,11 +15,11 @@
 			busyWeight += record.busy * record.listedWeight
 			readyWeight += record.listedWeight
 		}
-		if record.state == Ready && !record.warming(assigner) {
+		care := record.care(assigner, health)
+		if care != careUrgent { // it is ready and warm
 			soundWeight += record.listedWeight * (1 - health.failureRatio)
 			warmWeight += record.listedWeight
 		}
-		care := record.care(assigner, health)
 		z.careAnywhere = max(z.careAnywhere, care)
 		if local {
 			z.careLocal = max(z.careLocal, care)
--- a/internal/orderqueue/call.go
+++ b/internal/orderqueue/call.go
@@ -25,19 +25,14 @@
 }
 
 // NotTaken gives back a call of which nothing was carried out.
-func (q *Queue) NotTaken(call Call) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.budget.refund(call.number) // while the relay is away no message counts
-	q.giveBack(call, 0, noCall)
-}
+func (q *Queue) NotTaken(call Call) { q.PartlyTaken(call, 0) }
 
 // PartlyTaken gives back what stands in a call from the order at a position on, which the caller wants to go out again.
 // The one before that may be what the relay did not take.
 func (q *Queue) PartlyTaken(call Call, from int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if from == 0 {
+	if from == 0 { // nobody got it: while the relay is away no message counts
 		q.budget.refund(call.number)
 	}
 	q.giveBack(call, from, noCall)
--- a/internal/relay/eventreader.go
+++ b/internal/relay/eventreader.go
@@ -220,22 +220,20 @@
 // forward hands one event to the module. The first that is not of the snapshot tells that it is complete: proxies that it
 // has not named have disconnected.
 func (r *EventReader) forward(ctx context.Context, state *streamState, event assign.Event) error {
-	switch event := event.(type) {
-	case assign.ProxyConnected:
-		delete(state.unnamed, event.Proxy)
-		r.connected[event.Proxy] = event.Fresh
+	if connected, ok := event.(assign.ProxyConnected); ok {
+		delete(state.unnamed, connected.Proxy)
+		r.connected[connected.Proxy] = connected.Fresh
 		return r.sink(ctx, event)
-	case assign.ProxyDisconnected:
-		if err := r.disconnectUnnamed(ctx, state); err != nil {
-			return err
-		}
-		return r.disconnect(ctx, event.Proxy)
-	case nil:
-		return r.disconnectUnnamed(ctx, state)
 	}
 	if err := r.disconnectUnnamed(ctx, state); err != nil {
 		return err
 	}
+	switch event := event.(type) {
+	case nil: // a heartbeat
+		return nil
+	case assign.ProxyDisconnected:
+		return r.disconnect(ctx, event.Proxy)
+	}
 	return r.sink(ctx, event)
 }
 
