--- a/internal/orderqueue/acknowledgments.go
+++ b/internal/orderqueue/acknowledgments.go
@@ -18,7 +18,7 @@
 type acknowledgmentLedger struct {
 	requested  []int // sequence numbers of the pending batches, oldest first
 	allProxies bool  // one of them requests acknowledgments from all proxies
-	split      bool  // the last of them was already sent in a call with the first part of its batch
+	split      []int // sequence numbers whose batches were split; several calls with different orders request each
 	merged     []mergedBatches
 	received   []int
 }
@@ -29,11 +29,27 @@
 	earlier []int
 }
 
-// request records the acknowledgment request of a new batch.
+// request records the acknowledgment request of a new batch. Numbers are reused once they have wrapped around: what is known
+// of an earlier batch of the same number says nothing about this one.
 func (l *acknowledgmentLedger) request(r assign.AcknowledgmentRequest) {
+	isReused := func(sequence int) bool { return sequence == r.Sequence }
+	l.split = slices.DeleteFunc(l.split, isReused)
+	l.received = slices.DeleteFunc(l.received, isReused)
 	l.requested = newest(append(l.requested, r.Sequence))
 	l.allProxies = l.allProxies || r.AllProxies
-	l.split = false
+}
+
+// recordSplit records that a call requests a sequence number without all orders of its batch.
+func (l *acknowledgmentLedger) recordSplit(sequence int) {
+	if sequence != noSequence && !slices.Contains(l.split, sequence) {
+		l.split = newest(append(l.split, sequence))
+	}
+}
+
+// proves reports whether an acknowledgment of a sequence number proves that a call which requested it was applied. That of a
+// split batch never does: it does not tell which of the batch's calls it answers.
+func (l *acknowledgmentLedger) proves(sequence int) bool {
+	return sequence != noSequence && !slices.Contains(l.split, sequence)
 }
 
 // recordCall records that a call requests the last of these sequence numbers for all of them.
@@ -65,8 +81,7 @@
 }
 
 // requestAgain puts the sequence numbers of a requeued call before those requested since, each once.
-func (l *acknowledgmentLedger) requestAgain(sequences []int, allProxies, split bool) {
-	l.split = split && len(l.requested) == 0 // split describes the last requested batch, not the call's if there is a later one
+func (l *acknowledgmentLedger) requestAgain(sequences []int, allProxies bool) {
 	all := slices.Clone(sequences)
 	for _, sequence := range l.requested {
 		if !slices.Contains(all, sequence) {
--- a/internal/orderqueue/acknowledgments_test.go
+++ b/internal/orderqueue/acknowledgments_test.go
@@ -36,8 +36,22 @@
 
 func TestLedgerRequestsRequeuedSequencesFirstAndOnce(t *testing.T) {
 	ledger := acknowledgmentLedger{requested: []int{5, 6}}
-	ledger.requestAgain([]int{4, 5}, true, true)
-	if want := []int{4, 5, 6}; !slices.Equal(ledger.requested, want) || !ledger.allProxies || ledger.split {
-		t.Errorf("got %+v, want requested %v, all proxies, not split", ledger, want)
+	ledger.recordSplit(5)
+	ledger.requestAgain([]int{4, 5}, true)
+	if want := []int{4, 5, 6}; !slices.Equal(ledger.requested, want) || !ledger.allProxies || !ledger.proves(6) || ledger.proves(5) {
+		t.Errorf("got %+v, want requested %v, all proxies, 5 split and 6 not", ledger, want)
+	}
+}
+
+// Sequence numbers wrap around. An acknowledgment of the earlier batch of a number proves nothing about the later one, and a
+// split of the earlier one does not deprive the later one of its proof.
+func TestLedgerForgetsEarlierBatchOfReusedSequence(t *testing.T) {
+	ledger := acknowledgmentLedger{}
+	ledger.request(assign.AcknowledgmentRequest{Sequence: 5})
+	ledger.recordSplit(5)
+	ledger.receive(assign.Acknowledged{Sequence: 5})
+	ledger.request(assign.AcknowledgmentRequest{Sequence: 5})
+	if slices.Contains(ledger.received, 5) || !ledger.proves(5) {
+		t.Errorf("got %+v, want nothing known of the earlier batch", ledger)
 	}
 }
--- a/internal/orderqueue/call.go
+++ b/internal/orderqueue/call.go
@@ -12,17 +12,15 @@
 	orders     []*pendingOrder // without the acknowledgment request
 	sequences  []int           // of the requested batches; the call requests the last one's acknowledgment, also if it is split
 	allProxies bool            // the acknowledgment is requested from all proxies
-	split      bool            // another call with orders of the same batch requests the same acknowledgment
 	number     int
 }
 
-// provingSequence returns the sequence number whose acknowledgment proves that the call was applied. An acknowledgment that
-// another call requests too proves nothing.
-func (c *Call) provingSequence() (sequence int, ok bool) {
-	if c.split || len(c.sequences) == 0 {
-		return noSequence, false
+// lastSequence returns the sequence number whose acknowledgment the call requests, or noSequence.
+func (c *Call) lastSequence() int {
+	if len(c.sequences) == 0 {
+		return noSequence
 	}
-	return c.sequences[len(c.sequences)-1], true
+	return c.sequences[len(c.sequences)-1]
 }
 
 // Requeue returns all orders of a call to the queue. None of them was applied.
@@ -51,8 +49,11 @@
 func (q *Queue) RequeueAmbiguous(call Call) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	sequence, ok := call.provingSequence()
-	if ok && slices.Contains(q.acknowledgments.received, sequence) {
+	sequence := call.lastSequence()
+	if !q.acknowledgments.proves(sequence) {
+		sequence = noSequence
+	}
+	if sequence != noSequence && slices.Contains(q.acknowledgments.received, sequence) {
 		q.repeated++ // nothing is requeued, but Stats.Repeated has all ambiguous calls
 		return
 	}
@@ -83,6 +84,6 @@
 		q.pending.add(p)
 	}
 	q.pending.addAll(newer)
-	q.acknowledgments.requestAgain(call.sequences, call.allProxies, call.split)
+	q.acknowledgments.requestAgain(call.sequences, call.allProxies)
 	q.notify()
 }
--- a/internal/orderqueue/queue.go
+++ b/internal/orderqueue/queue.go
@@ -110,7 +110,10 @@
 
 // dropApplied drops the pending orders of an ambiguous call that has been acknowledged, and ends the delay after it.
 func (q *Queue) dropApplied(acknowledged map[int]bool) {
-	if q.pending.removeIf(func(p *pendingOrder) bool { return acknowledged[p.attemptedBy] }) {
+	applied := func(p *pendingOrder) bool {
+		return acknowledged[p.attemptedBy] && q.acknowledgments.proves(p.attemptedBy)
+	}
+	if q.pending.removeIf(applied) {
 		q.ambiguity.stop(time.Now())
 		q.notify()
 	}
--- a/internal/orderqueue/take.go
+++ b/internal/orderqueue/take.go
@@ -104,20 +104,20 @@
 }
 
 // newCall forms a call, whose number and encoded orders are set later. It requests the acknowledgment of the last requested
-// batch in any case. Complete: no order stays pending, so that no further call requests it again; otherwise the next one
-// does (split).
+// batch in any case. Complete: no order stays pending, so that no further call requests it again; otherwise the batch is split
+// and the next call requests it, too.
 func (q *Queue) newCall(chosen []*pendingOrder, complete bool) Call {
 	ledger := &q.acknowledgments
 	call := Call{
 		orders:     chosen,
 		sequences:  slices.Clone(ledger.requested),
 		allProxies: ledger.allProxies && complete,
-		split:      ledger.split || !complete,
 	}
-	ledger.split = !complete
 	if complete {
 		ledger.requested = nil
 		ledger.allProxies = false
+	} else {
+		ledger.recordSplit(call.lastSequence())
 	}
 	return call
 }
