--- a/assign/any_input_test.go
+++ b/assign/any_input_test.go
@@ -36,7 +36,7 @@
 		class := RequestClassConfig{
 			Name:             fmt.Sprint("class", i),
 			PriorityWeight:   input.oneOf(0, 1, 1e9),
-			LatencyObjective: input.magnitude(1e-3, 1e3), // 0 is a known fault
+			LatencyObjective: input.oneOf(0, 1, 1, 1) * input.magnitude(1e-3, 1e3),
 			OwnZoneOnly:      input.random.Intn(4) == 0,
 		}
 		if input.random.Intn(4) == 0 {
@@ -146,9 +146,8 @@
 	return ""
 }
 
-// Whatever comes within the documented bounds, every order and every quota is finite and not negative. Two known faults
-// are left out: a class without a latency objective, and events of proxies that never connected. In every other seed all
-// zones are new within a tick.
+// Whatever comes within the documented bounds, every order and every quota is finite and not negative. One known fault
+// is left out: events of proxies that never connected. In every other seed all zones are new within a tick.
 func TestOrdersAreFiniteForAnyInput(t *testing.T) {
 	quickcheck.Seeds(t, 150, func(seed int64) bool {
 		input, now, proxies := newAnyInput(seed), 1000.0, map[int]bool{}
--- a/assign/config.go
+++ b/assign/config.go
@@ -75,7 +75,7 @@
 	Name             string
 	Group            string // the endpoints that have the data of the class; no rule uses it
 	PriorityWeight   float64
-	LatencyObjective float64 // answers later than this are worth less, s
+	LatencyObjective float64 // answers later than this are worth less, s; default 0: no answer is late
 	Deadline         float64 // clients give up then, s; 0: not stated
 	AllowedZones     []string
 	OwnZoneOnly      bool        // may not leave the proxy's zone
--- a/assign/endpoint.go
+++ b/assign/endpoint.go
@@ -162,11 +162,11 @@
 
 // lateThreshold returns the mean latency above which answers count as late, over all request classes, s.
 func (a *Assigner) lateThreshold() float64 {
-	objective := 0.0
+	var mean outlier.ObjectiveMean
 	for _, class := range a.classes {
-		objective += class.LatencyObjective * class.trafficFraction
+		mean.Add(class.LatencyObjective, class.trafficFraction)
 	}
-	return outlier.LateThreshold(objective)
+	return outlier.LateThreshold(mean.Objective())
 }
 
 // closePeriod closes the sums of the period and assesses the endpoint's health in each zone. The rates are those of a period
--- a/assign/outlier/outlier_test.go
+++ b/assign/outlier/outlier_test.go
@@ -257,6 +257,33 @@
 	}
 }
 
+// A class without an objective does not lower the objective of the others.
+func TestObjectiveMeanLeavesOutClassesWithoutObjective(t *testing.T) {
+	type class struct{ objective, fraction float64 }
+	for _, test := range []struct {
+		name    string
+		classes []class
+		want    float64
+	}{
+		{"no class", nil, 0},
+		{"none states one", []class{{0, 0.5}, {0, 0.5}}, 0},
+		{"all state one", []class{{1, 0.25}, {2, 0.75}}, 1.75},
+		{"one of two states one", []class{{1, 0.25}, {0, 0.75}}, 1},
+		{"two of three state one", []class{{1, 0.25}, {0, 0.5}, {2, 0.25}}, 1.5},
+		{"hardly any traffic of the one that states one", []class{{1, 1e-15}, {0, 1}}, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var mean outlier.ObjectiveMean
+			for _, c := range test.classes {
+				mean.Add(c.objective, c.fraction)
+			}
+			if got := mean.Objective(); math.Abs(got-test.want) > tolerance {
+				t.Errorf("got objective %g s, want %g s", got, test.want)
+			}
+		})
+	}
+}
+
 // Whatever is reported, a health weight stays from probation's to 1, and every figure is finite.
 func TestHealthStaysInBounds(t *testing.T) {
 	quickcheck.Seeds(t, 500, func(seed int64) bool {
