--- a/assign/ordering/ordering.go
+++ b/assign/ordering/ordering.go
@@ -78,11 +78,15 @@
 	Now           float64 // s
 }
 
+// minUrgentMessages is the number of urgent messages that any limit allows within the window: a limit of one message
+// leaves none free, and all of it is for urgent ones.
+const minUrgentMessages = 1
+
 // Allowed reports whether a proxy may receive another message. MaxMessages is the limit within the message window; 0
-// means none. One message of the limit stays free, for what the assigner does not know of.
+// means none. One message of a limit above one stays free, for what the assigner does not know of.
 func Allowed(history History, urgent bool, maxMessages int) bool {
 	noLimit := maxMessages == 0
-	if urgent && (noLimit || history.Recent < maxMessages-1) {
+	if urgent && (noLimit || history.Recent < max(minUrgentMessages, maxMessages-1)) {
 		return true
 	}
 	tooSoon := history.Recent > 0 && history.Now-history.LastMessageAt < minMessageInterval
