--- a/assign/endpoint.go
+++ b/assign/endpoint.go
@@ -59,8 +59,8 @@
 func (e *endpoint) ready() bool { return e.status.State == Ready }
 
 // updateEndpoints turns an endpoint update into a message to each endpoint that it names or drops. It creates the records
-// of new endpoints and deletes expired ones at once, so that the other events of the batch find them. Known fault: an
-// expired endpoint that the same update lists again is deleted too (KNOWN-RED.txt).
+// of new endpoints and deletes expired ones at once, so that the other events of the batch find them. Expired ones go first:
+// an endpoint that is listed again after that gets a new record, which its entry is applied to.
 func (a *Assigner) updateEndpoints(update EndpointUpdate) {
 	if update.Failed {
 		a.order(WatchEndpoints{Enabled: true})
@@ -68,6 +68,7 @@
 	}
 	listed := map[string]bool{}
 	firstUpdate := len(a.endpointList) == 0
+	a.deleteExpiredEndpoints()
 	for _, entry := range update.Endpoints {
 		listed[entry.Name] = true
 		a.send(endpointListed{a.endpoint(entry, firstUpdate), entry})
@@ -77,7 +78,6 @@
 			a.send(endpointDropped{e})
 		}
 	}
-	a.deleteExpiredEndpoints()
 }
 
 // endpoint returns the record of a listed endpoint, a new one where there is none.
--- a/assign/known_faults_test.go
+++ b/assign/known_faults_test.go
@@ -236,6 +236,23 @@
 	}
 }
 
+// TestEndpointListedByFirstOfTwoUpdatesIsReady has two updates in one batch, of which the first lists an endpoint again whose
+// record may be deleted.
+func TestEndpointListedByFirstOfTwoUpdatesIsReady(t *testing.T) {
+	assigner := New(1, modelConfig())
+	now := 1000.0
+	listed := newEndpoints("x", 4)
+	assigner.Handle(now, []Event{EndpointUpdate{Full: true, Endpoints: listed}})
+	removed := listed[0]
+	removed.State = Removed
+	assigner.Handle(now, []Event{EndpointUpdate{Endpoints: []Endpoint{removed}}})
+	now += membership.Retention + 1
+	assigner.Handle(now, []Event{EndpointUpdate{Endpoints: listed[:1]}, EndpointUpdate{Endpoints: listed[1:]}})
+	if !isReady(assigner, listed[0].Name) {
+		t.Error("got the endpoint not ready after the first update listed it again, want ready")
+	}
+}
+
 // testHost is an assigner with a proxy in each zone, numbered as the zones are, and four endpoints a zone. The proxies
 // have assigned tables from the start. Orders take effect at once and are acknowledged in the next batch.
 type testHost struct {
