--- a/assign/subset/plan.go
+++ b/assign/subset/plan.go
@@ -47,6 +47,7 @@
 type Plan[E comparable] struct {
 	candidates        []*Candidate[E]
 	byEndpoint        map[E]*Candidate[E]
+	remoteCandidates  int     // number of those in other zones
 	remoteFraction    float64 // of a table's entries and of its weight; 1 if there are no local candidates, else below 1
 	remainingCapacity float64 // weight of all usable endpoints, as a fraction of the deployment's peak
 	maxWeight         float64 // the most that a table carries
@@ -77,6 +78,9 @@
 	plan.maxWeight = plan.maxTableWeight(usualWeight)
 	for _, c := range plan.candidates {
 		plan.byEndpoint[c.Endpoint] = c
+		if c.Remote {
+			plan.remoteCandidates++
+		}
 	}
 	return plan
 }
--- a/assign/subset/subset_test.go
+++ b/assign/subset/subset_test.go
@@ -365,3 +365,26 @@
 		})
 	}
 }
+
+// With fewer remote candidates than entries reserved for them, the zone's endpoints fill the table up to its size.
+func TestBuildFillsTableWithFewRemoteCandidates(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		local, remote int
+		want          int // entries
+	}{
+		{"one remote", 5, 1, 5},
+		{"two remote", 2, 2, 4},
+		{"all reserved", 5, 4, 5},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			zone, deployment := usualZone()
+			zone.Overloaded, zone.Spillover = true, 0.9
+			candidates := slices.Concat(localCandidates(test.local), remoteCandidates(test.remote))
+			table := subset.NewPlan(zone, deployment, candidates).Build(nil, 10, 5)
+			if got := len(table.Entries); got != test.want {
+				t.Errorf("got %d entries, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/assign/subset/table.go
+++ b/assign/subset/table.go
@@ -74,9 +74,7 @@
 	plan.AddLoad(held, -rate)
 	plan.rank(held)
 	size := int(math.Round(tableSize))
-	remoteSize := int(math.Round(plan.remoteFraction * float64(size)))
-	remoteSize = min(remoteSize, size-1) // one entry is kept for the zone's own, also where it has none
-
+	remoteSize := plan.remoteSize(size)
 	table := &draft[E]{}
 	local := table.add(plan.lowestRanked(false, size-remoteSize))
 	localEntries := len(table.entries)
@@ -97,6 +95,13 @@
 	return Table[E]{Entries: table.entries, Warming: true, WarmingCapacity: capacity}
 }
 
+// remoteSize returns how many entries of a table of a size are for remote candidates: the plan's fraction, as far as there
+// are that many. One entry is kept for the zone's own, also where it has none.
+func (plan *Plan[E]) remoteSize(size int) int {
+	wanted := int(math.Round(plan.remoteFraction * float64(size)))
+	return min(wanted, size-1, plan.remoteCandidates)
+}
+
 // remoteScale returns the factor on the weights of remote entries that gives them, at their listed weights, their
 // fraction of the table, however few they are. Entries below their listed weight get less.
 func (plan *Plan[E]) remoteScale(localWeight, remoteListed float64) float64 {
