--- a/assign/subset/plan.go
+++ b/assign/subset/plan.go
@@ -20,6 +20,7 @@
 type Zone struct {
 	Overloaded       bool
 	PeakWeight       float64 // the highest listed weight of its ready and verified endpoints so far
+	UsablePeakWeight float64 // sum over the zones whose endpoints the request classes may use
 	Spillover        float64 // fraction of its traffic that goes to other zones
 	TrafficFraction  float64 // of the rate of all reporting proxies
 	ReportingProxies float64 // above 0
@@ -49,7 +50,7 @@
 	byEndpoint        map[E]*Candidate[E]
 	remoteCandidates  int     // number of those in other zones
 	remoteFraction    float64 // of a table's entries and of its weight; 1 if there are no local candidates, else below 1
-	remainingCapacity float64 // weight of all usable endpoints, as a fraction of the deployment's peak
+	remainingCapacity float64 // weight of all usable endpoints, as a fraction of the deployment's peak in all zones
 	maxWeight         float64 // the most that a table carries
 }
 
@@ -120,14 +121,14 @@
 	return found
 }
 
-// demand returns the weight that the zone's proxies need: what they usually have, less what the deployment has lost;
-// in an overloaded zone at least what its traffic takes. Where warming endpoints are in use the loss does not count,
+// demand returns the weight that the zone's proxies need: what they usually have, less what the zones that their classes
+// may use have lost; in an overloaded zone at least what its traffic takes. Where warming endpoints are in use the loss does not count,
 // because warm endpoints have to carry the load next to them, however unhealthy. It assumes that proxies which do not
 // report here bring as much as those that do, and that zones have equally many.
 func (plan *Plan[E]) demand(zone Zone, deployment Deployment, found supply, usualWeight float64) float64 {
 	demand := usualWeight
 	if !found.warming {
-		demand *= math.Min(1, plan.remainingCapacity)
+		demand *= math.Min(1, found.total/math.Max(zone.UsablePeakWeight, numeric.MinDivisor))
 	}
 	if !zone.Overloaded {
 		return demand
--- a/assign/subset/property_test.go
+++ b/assign/subset/property_test.go
@@ -45,6 +45,7 @@
 		ReportingProxies:  reporting + float64(random.Intn(1000)),
 		ConfiguredProxies: quickcheck.Fraction(random)*3000 - 1,
 	}
+	drawn.zone.UsablePeakWeight = drawn.deployment.PeakWeight * quickcheck.Fraction(random)
 	return drawn
 }
 
--- a/assign/subset/subset_test.go
+++ b/assign/subset/subset_test.go
@@ -32,7 +32,7 @@
 
 // usualZone is a zone that usually has a weight of 10, in a deployment of three such zones.
 func usualZone() (subset.Zone, subset.Deployment) {
-	return subset.Zone{PeakWeight: 10, TrafficFraction: 1.0 / 3, ReportingProxies: 4},
+	return subset.Zone{PeakWeight: 10, UsablePeakWeight: 30, TrafficFraction: 1.0 / 3, ReportingProxies: 4},
 		subset.Deployment{PeakWeight: 30, Zones: 3, ReportingProxies: 12, ConfiguredProxies: -1}
 }
 
--- a/assign/zone.go
+++ b/assign/zone.go
@@ -110,7 +110,7 @@
 	if plan := z.plans[group]; plan != nil {
 		return plan
 	}
-	plan := subset.NewPlan(z.subsetZone(group), assigner.subsetDeployment(), z.candidates(assigner, group))
+	plan := subset.NewPlan(z.subsetZone(assigner, group), assigner.subsetDeployment(), z.candidates(assigner, group))
 	for _, p := range assigner.proxies {
 		if p.hasAssignedTables && p.connected {
 			plan.AddLoad(p.tables[group.index], p.typicalRate)
@@ -143,10 +143,11 @@
 }
 
 // subsetZone returns what a plan of a group needs to know of the zone.
-func (z *zone) subsetZone(group *tableGroup) subset.Zone {
+func (z *zone) subsetZone(assigner *Assigner, group *tableGroup) subset.Zone {
 	return subset.Zone{
 		Overloaded:       z.overloaded,
 		PeakWeight:       z.peakWeight,
+		UsablePeakWeight: z.usablePeakWeight(assigner, group),
 		Spillover:        z.spillover.Fraction,
 		TrafficFraction:  z.trafficFraction,
 		ReportingProxies: z.reportingProxies,
@@ -155,6 +156,17 @@
 	}
 }
 
+// usablePeakWeight returns the sum of the peak weights of the zones whose endpoints the group's classes may use from the
+// zone.
+func (z *zone) usablePeakWeight(assigner *Assigner, group *tableGroup) (sum float64) {
+	for _, other := range assigner.zones {
+		if group.policy.Allows(other.name, z.name) {
+			sum += other.peakWeight
+		}
+	}
+	return sum
+}
+
 // subsetDeployment returns what a plan needs to know of all zones.
 func (a *Assigner) subsetDeployment() subset.Deployment {
 	deployment := subset.Deployment{Zones: len(a.zones), ConfiguredProxies: a.config.ProxyCount}
