--- a/assign/assignment/changes.go
+++ b/assign/assignment/changes.go
@@ -15,6 +15,18 @@
 	return math.Abs(to-from) > minRelativeChange*math.Max(to, from)
 }
 
+// Limit is the rate limit of a request class, and the number of retries that is ordered with it.
+type Limit struct {
+	Rate    float64 // 1/s, or the admitted fraction; admission.Unlimited for none
+	Retries int
+}
+
+// LimitWorthSending reports whether the change from one limit to another is worth a message. More retries are, even where
+// the rate stays: retries are off until a message says otherwise.
+func LimitWorthSending(from, to Limit) bool {
+	return WorthSending(from.Rate, to.Rate) || to.Retries > from.Retries
+}
+
 // Changes returns the entries of a wanted table that the held one lacks or has at a weight that is worth changing,
 // and an entry of weight 0 for each that has to go. It may append to wanted's array, which the caller must not use
 // again.
--- a/assign/proxy.go
+++ b/assign/proxy.go
@@ -48,8 +48,8 @@
 	rateLimit float64 // 1/s; 0: none; the design page calls it level
 
 	// What the proxy holds by the orders sent to it; written by recordOrder, reset by connect.
-	tables      [][]tableEntry // by table group
-	classLimits []float64      // by request class; admission.Unlimited if none
+	tables      [][]tableEntry     // by table group
+	classLimits []assignment.Limit // by request class; without an order as configured
 
 	// Written by recordSent; reset by disconnect.
 	messageTimes []float64               // of the last messages to it, s; those older than the message window go at the next one
@@ -99,7 +99,8 @@
 	p.assignQuota(p.quota, 0)
 	p.hasAssignedTables = false
 	p.tables = make([][]tableEntry, len(assigner.groups))
-	p.classLimits = slices.Repeat([]float64{admission.Unlimited}, len(assigner.classes))
+	unlimited := assignment.Limit{Rate: admission.Unlimited, Retries: assigner.config.Retries}
+	p.classLimits = slices.Repeat([]assignment.Limit{unlimited}, len(assigner.classes))
 	assigner.zone(p.zone) // a zone may have proxies and no endpoints
 	p.contents = assignment.ContentsAtConnect(event.Fresh, p.supplies(assigner))
 	for i, rate := range p.rates { // until they are reported; the classes' parts are unknown
@@ -187,7 +188,7 @@
 			*table = append(*table, tableEntry{Endpoint: assigner.endpoints[o.Endpoint], Weight: o.Weight})
 		}
 	case SetRateLimit:
-		p.classLimits[o.RequestClasses[0]] = o.Limit
+		p.classLimits[o.RequestClasses[0]] = assignment.Limit{Rate: o.Limit, Retries: o.Retries}
 	case AttachTable:
 		p.hasAssignedTables = true
 	}
--- a/assign/tables.go
+++ b/assign/tables.go
@@ -86,17 +86,18 @@
 	budget := admission.NewBudget(p.rateLimit)
 	retries := admission.Retries(assigner.config.Retries, p.rateLimit > 0, wanted.Warming)
 	for _, class := range assigner.classesByPriority {
-		limit := budget.Limit(admission.Demand{
+		rate := budget.Limit(admission.Demand{
 			Rate:    p.rates[class.index],
 			Cap:     p.rateCap(assigner, class, wanted),
 			ByRatio: assigner.config.Admission == AdmitByRatio,
 		})
+		limit := assignment.Limit{Rate: rate, Retries: retries}
 		held := p.classLimits[class.index]
-		if !slices.Contains(group.classes, class.index) || !assignment.WorthSending(held, limit) {
+		if !slices.Contains(group.classes, class.index) || !assignment.LimitWorthSending(held, limit) {
 			continue
 		}
-		urgent := assignment.UrgentLimit(held, limit, wanted.Warming)
-		result.add(SetRateLimit{table, []int{class.index}, limit, retries}, urgent)
+		urgent := assignment.UrgentLimit(held.Rate, limit.Rate, wanted.Warming)
+		result.add(SetRateLimit{table, []int{class.index}, limit.Rate, limit.Retries}, urgent)
 	}
 }
 
