--- a/assign/any_input_test.go
+++ b/assign/any_input_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"testing"
 
 	"madderhollow/internal/quickcheck"
@@ -55,29 +56,26 @@
 
 func (in *anyInput) zone() string { return zoneOf(in.random.Intn(3)) }
 
-// events draws the events of a batch; proxies are the numbers of those that have connected.
-func (in *anyInput) events(now float64, proxies map[int]bool) (events []Event) {
+// events draws the events of a batch. Some name proxies that never connected.
+func (in *anyInput) events(now float64) (events []Event) {
 	for range in.random.Intn(12) {
 		proxy := in.random.Intn(6)
-		switch in.random.Intn(7) {
+		switch in.random.Intn(8) {
 		case 0:
 			events = append(events, in.endpointUpdate(now))
 		case 1:
-			proxies[proxy] = true
 			events = append(events, ProxyConnected{Proxy: proxy, Zone: in.zone(),
 				TypicalRate: in.oneOf(0, 1, 100, 1e6), Fresh: in.random.Intn(2) == 0})
 		case 2, 3, 4:
 			events = append(events, in.loadReport())
 		case 5:
-			if proxies[proxy] { // a known fault otherwise
-				class := in.config.RequestClasses[in.random.Intn(len(in.config.RequestClasses))].Name
-				events = append(events, ProxyTrafficReport{Proxy: proxy, RequestClass: class,
-					Interval: in.magnitude(1e-3, 1e3), Requests: int(in.magnitude(1, 1e9)) - 1})
-			}
+			class := in.config.RequestClasses[in.random.Intn(len(in.config.RequestClasses))].Name
+			events = append(events, ProxyTrafficReport{Proxy: proxy, RequestClass: class,
+				Interval: in.magnitude(1e-3, 1e3), Requests: int(in.magnitude(1, 1e9)) - 1})
 		case 6:
-			if proxies[proxy] {
-				events = append(events, Acknowledged{Proxy: proxy, Sequence: in.random.Intn(40)})
-			}
+			events = append(events, Acknowledged{Proxy: proxy, Sequence: in.random.Intn(40)})
+		case 7:
+			events = append(events, ProxyDisconnected{Proxy: proxy})
 		}
 	}
 	return events
@@ -130,6 +128,9 @@
 
 // checkAnyRecords returns what is wrong with the split of the total rate, nothing if it is a split.
 func checkAnyRecords(assigner *Assigner) string {
+	if slices.Contains(zoneNames(assigner), "") {
+		return "got a zone without a name, want none"
+	}
 	total, sum := assigner.totalRate, 0.0
 	if !(total >= 0) || math.IsInf(total, 0) {
 		return fmt.Sprintf("got total %g/s, want a finite one of 0 or more", total)
@@ -146,11 +147,11 @@
 	return ""
 }
 
-// Whatever comes within the documented bounds, every order and every quota is finite and not negative. One known fault
-// is left out: events of proxies that never connected. In every other seed all zones are new within a tick.
+// Whatever comes within the documented bounds, every order and every quota is finite and not negative, and every zone has a
+// name. In every other seed all zones are new within a tick.
 func TestOrdersAreFiniteForAnyInput(t *testing.T) {
 	quickcheck.Seeds(t, 150, func(seed int64) bool {
-		input, now, proxies := newAnyInput(seed), 1000.0, map[int]bool{}
+		input, now := newAnyInput(seed), 1000.0
 		assigner := New(seed, input.config)
 		var listed []Endpoint
 		for i, zone := range input.config.Zones {
@@ -160,12 +161,12 @@
 		if seed%2 == 0 {
 			assigner.Handle(now, nil)
 			now += 0.2
-			first = append(first, input.events(now, proxies)...)
+			first = append(first, input.events(now)...)
 		}
 		assigner.Handle(now, first)
 		for batch := range 60 {
 			now += input.oneOf(0.1, 0.5, 1, 1, 20)
-			for _, order := range assigner.Handle(now, input.events(now, proxies)) {
+			for _, order := range assigner.Handle(now, input.events(now)) {
 				if wrong := checkAnyOrder(order); wrong != "" {
 					t.Errorf("seed %d, batch %d: got %+v, %s", seed, batch, order, wrong)
 					return false
--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -12,10 +12,10 @@
 const clockTolerance = 1e-9
 
 // Assigner decides for the proxies that are connected to one assigner. Use New.
-// The records of endpoints, zones, request classes and proxies are created when they are first named. They change only in
-// the handlers of messages (mailbox.go), one after another, except for the deletion of expired endpoints and for values
-// made on first use. A handler collects the inputs of a rule, calls the rule's
-// package and stores the result.
+// The records of endpoints and zones are created when an update or a connecting proxy first names them, those of proxies
+// when they connect. They change only in the handlers of messages (mailbox.go), one after another, except for the deletion
+// of expired endpoints and for values made on first use. A handler collects the inputs of a rule, calls the rule's package
+// and stores the result.
 type Assigner struct {
 	// Written by New only.
 	config            Config
@@ -103,15 +103,21 @@
 			a.send(loadReported{endpoint, event})
 		}
 	case ProxyConnected:
-		proxy := a.proxy(event.Proxy)
+		proxy := a.connectingProxy(event.Proxy)
 		a.send(proxyConnected{proxy, event})
 		a.send(tablesOutdated{proxy})
 	case ProxyTrafficReport:
-		a.send(trafficReported{a.proxy(event.Proxy), event})
+		if proxy := a.proxy(event.Proxy); proxy != nil {
+			a.send(trafficReported{proxy, event})
+		}
 	case ProxyDisconnected:
-		a.send(proxyDisconnected{a.proxy(event.Proxy)})
+		if proxy := a.proxy(event.Proxy); proxy != nil {
+			a.send(proxyDisconnected{proxy})
+		}
 	case Acknowledged:
-		a.send(acknowledged{a.proxy(event.Proxy), event.Sequence})
+		if proxy := a.proxy(event.Proxy); proxy != nil {
+			a.send(acknowledged{proxy, event.Sequence})
+		}
 	case TimerFired:
 		// The timer's purpose was to start a batch.
 	case ShardTrafficReport, ShardAssigned, ShardEntry, HealthCheckResult, PeerMessageReceived:
--- a/assign/known_faults_test.go
+++ b/assign/known_faults_test.go
@@ -8,8 +8,7 @@
 	"madderhollow/assign/membership"
 )
 
-// Each test of this file shows a known fault at its true bound and fails until the fault is mended. KNOWN-RED.txt at the
-// root of the repository lists those that fail.
+// Each test of this file guards against a fault that docs/incidents describes.
 
 // TestTableOfLastResortKeepsRateCap has tables narrow and every endpoint warming up. Each proxy then holds at least two
 // endpoints, at finite weights, and a rate cap protects them.
--- a/assign/known_table_faults_test.go
+++ b/assign/known_table_faults_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// Like known_faults_test.go, this file shows known faults: here of tables that request classes restricted to some zones, or
-// proxies of the only zone, should hold.
+// Like those of known_faults_test.go, the tests of this file guard against faults that docs/incidents describes: here of tables
+// that request classes restricted to some zones, or proxies of the only zone, should hold.
 
 // TestOverloadedZoneFillsTablesWithoutRemoteEndpoints has an overloaded zone of four endpoints and classes that may use no
 // others. What spills over has nowhere to go, so a table holds all four.
--- a/assign/mailbox.go
+++ b/assign/mailbox.go
@@ -2,8 +2,8 @@
 
 // recordMessage is a change to a record. Every part may read a record, but only the handler of a message changes it. Messages
 // are handled one after another in the order in which they were sent. Records are created earlier, when an event or a
-// look-up first names them: Assigner.endpoint, Assigner.proxy and Assigner.zone. Expired endpoints are deleted while an update
-// is dispatched. endpoint.healthIn and zone.plan add to a record on first use.
+// look-up first names them: Assigner.endpoint, Assigner.connectingProxy and Assigner.zone. Expired endpoints are deleted while an
+// update is dispatched. endpoint.healthIn and zone.plan add to a record on first use.
 type recordMessage interface{ deliver(a *Assigner) }
 
 // send appends a message to the pending ones.
--- a/assign/proxy.go
+++ b/assign/proxy.go
@@ -28,7 +28,7 @@
 
 // proxy is the record of a proxy. It outlives the connection.
 type proxy struct {
-	id int // written by Assigner.proxy only
+	id int // written by Assigner.connectingProxy only
 
 	// Written by connect.
 	zone        string
@@ -38,7 +38,7 @@
 	connected         bool // written by connect and disconnect
 	hasAssignedTables bool // it uses the tables assigned to it; set by recordOrder, cleared by connect
 
-	// By request class, 1/s; written by recordTraffic; 0 from Assigner.proxy and forgetTraffic until connect.
+	// By request class, 1/s; written by connect, recordTraffic and forgetTraffic.
 	rates []float64
 	// Or time of the connect, if that is later, s; written by connect and recordTraffic.
 	lastReportAt float64
@@ -56,16 +56,31 @@
 	inFlight     []unacknowledgedMessage // shortened by acknowledge
 }
 
-// proxy returns the record of a proxy, a new one where there is none. Records are kept by number, so that no order
-// depends on which proxy connected first.
+// proxy returns the record of a proxy that has connected before, nil if it never has.
 func (a *Assigner) proxy(id int) *proxy {
-	i, found := slices.BinarySearchFunc(a.proxies, id, func(p *proxy, id int) int { return cmp.Compare(p.id, id) })
-	if !found {
+	i, known := a.searchProxy(id)
+	if !known {
+		return nil
+	}
+	return a.proxies[i]
+}
+
+// connectingProxy returns the record of a proxy that connects, a new one where there is none. Nothing else creates one: a
+// proxy is in no zone until it connects. Records are kept by number, so that no order depends on which proxy connected
+// first.
+func (a *Assigner) connectingProxy(id int) *proxy {
+	i, known := a.searchProxy(id)
+	if !known {
 		a.proxies = slices.Insert(a.proxies, i, &proxy{id: id, rates: make([]float64, len(a.classes))})
 	}
 	return a.proxies[i]
 }
 
+// searchProxy returns the position of a proxy's record, or that of a new one and false.
+func (a *Assigner) searchProxy(id int) (position int, known bool) {
+	return slices.BinarySearchFunc(a.proxies, id, func(p *proxy, id int) int { return cmp.Compare(p.id, id) })
+}
+
 // sortedWithoutQuota returns the proxies that have no quota yet, each once and by number.
 func sortedWithoutQuota(proxies []*proxy) []*proxy {
 	slices.SortFunc(proxies, func(x, y *proxy) int { return cmp.Compare(x.id, y.id) })
