--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -56,7 +56,7 @@
 		classes:           classes,
 		classesByPriority: byPriority(classes),
 		groups:            groupByTable(classes),
-		scheduler:         newOrderScheduler(config.Channel),
+		scheduler:         newOrderScheduler(config),
 		busyColumn:        slices.Index(config.Reports.LoadMetrics, MetricBusy),
 		tableSize:         overload.NewTableSize(),
 	}
--- a/assign/assignment/assignment_test.go
+++ b/assign/assignment/assignment_test.go
@@ -158,6 +158,51 @@
 	}
 }
 
+func TestEssentialEntry(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change assignment.EntryChange
+		want   bool
+	}{
+		{"a drained entry leaves", assignment.EntryChange{From: 1}, true},
+		{"a warming entry falls", assignment.EntryChange{From: 1, To: 0.5, Ready: true, Warming: true}, true},
+		{"a warm entry is new", assignment.EntryChange{To: 1, Ready: true}, true},
+		{"a warming entry is new", assignment.EntryChange{To: 1, Ready: true, Warming: true}, false},
+		{"a warm entry changes", assignment.EntryChange{From: 1, To: 0.5, Ready: true}, false},
+		{"a warm entry leaves", assignment.EntryChange{From: 1, Ready: true}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := assignment.EssentialEntry(test.change); got != test.want {
+				t.Errorf("got %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
+func TestLeavesEntry(t *testing.T) {
+	drained := assignment.EntryChange{From: 1}
+	newWarm := assignment.EntryChange{To: 1, Ready: true}
+	newWarming := assignment.EntryChange{To: 1, Ready: true, Warming: true}
+	for _, test := range []struct {
+		name    string
+		held    int
+		changes []assignment.EntryChange
+		want    bool
+	}{
+		{"one stays", 2, []assignment.EntryChange{drained}, true},
+		{"all leave", 2, []assignment.EntryChange{drained, drained}, false},
+		{"all leave, a warm one comes", 2, []assignment.EntryChange{drained, drained, newWarm}, true},
+		{"all leave, only a warming one comes", 2, []assignment.EntryChange{drained, drained, newWarming}, false},
+		{"nothing changes", 1, nil, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := assignment.LeavesEntry(test.held, test.changes); got != test.want {
+				t.Errorf("got %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
 func TestUrgentLimit(t *testing.T) {
 	for _, test := range []struct {
 		name       string
--- a/assign/assignment/changes.go
+++ b/assign/assignment/changes.go
@@ -57,6 +57,29 @@
 	return change.To < change.From && (!change.Ready || change.Warming)
 }
 
+// EssentialEntry reports whether the change goes out even while the channel has room for urgent messages only: an urgent
+// one, or a warm endpoint's new entry. The latter takes the load of the entries that leave, which would otherwise go to the
+// others of the table, warming ones among them.
+func EssentialEntry(change EntryChange) bool {
+	warmNew := change.From == 0 && change.Ready && !change.Warming
+	return warmNew || UrgentEntry(change)
+}
+
+// LeavesEntry reports whether a table that holds a number of entries still has one after the essential changes alone.
+func LeavesEntry(held int, changes []EntryChange) bool {
+	remaining := held
+	for _, change := range changes {
+		switch {
+		case !EssentialEntry(change):
+		case change.From == 0:
+			remaining++
+		case change.To == 0:
+			remaining--
+		}
+	}
+	return remaining > 0
+}
+
 // urgentLimitFactor is the factor by which a rate limit has to fall to be urgent. A slow-start cap uses half of the
 // overload multiple (slowstart.burstFraction), so that a smaller fall does not overload a warming endpoint while the
 // message waits as an ordinary one.
--- a/assign/config.go
+++ b/assign/config.go
@@ -64,6 +64,7 @@
 	Retries            int     // further attempts that proxies usually make
 	MinBatchInterval   float64 // between two batches, s
 	MaxTimeWithoutPick float64 // that a proxy may be without an endpoint to pick, s; no rule uses it
+	DrainGrace         float64 // within which proxies have to stop sending to a draining endpoint, s; 0, the default: not stated
 	PeerMessages       bool    // assigners may send each other messages
 	Channel            ChannelConfig
 	WarmUp             WarmUpConfig
@@ -85,10 +86,12 @@
 // ChannelConfig describes the channel that carries orders to the proxies.
 type ChannelConfig struct {
 	QueueLimit      float64 // lines that may be queued; the platform forbids more; default +Inf
+	LinesPerSecond  float64 // that it carries under normal conditions, 1/s; 0, the default: not stated
 	MessageOverhead float64 // lines that a message costs in addition to its orders; default 1
 	MessageLimit    float64 // messages that one proxy may receive within MessageWindow; 0, the default: no limit
 	MessageWindow   float64 // s; default 10
 	MeanTransit     float64 // of a message to a proxy, s
+	MaxTransit      float64 // the longest such time, s
 }
 
 // WarmUpConfig describes how an endpoint that has just started reaches its full speed.
--- a/assign/endpoint.go
+++ b/assign/endpoint.go
@@ -25,7 +25,8 @@
 	startedAt    float64 // of its process, s; 0: long ago
 	lastListedAt float64 // s; set by newEndpoint first
 
-	status membership.Status // written by applyListing, applyDrop and recordLoad; removed at first
+	status        membership.Status // written by setStatus; removed at first
+	notReadySince float64           // time of the notice that it drains or is removed, s; read only if it is not ready; written by setStatus
 
 	// Written by recordLoad.
 	busy           float64 // fraction of its capacity in use, as it reports; 1 is full; reset by applyListing for a new process
@@ -58,6 +59,14 @@
 // ready reports whether the endpoint takes requests.
 func (e *endpoint) ready() bool { return e.status.State == Ready }
 
+// setStatus sets the endpoint's status at a time in seconds.
+func (e *endpoint) setStatus(status membership.Status, now float64) {
+	if e.ready() && status.State != Ready {
+		e.notReadySince = now
+	}
+	e.status = status
+}
+
 // updateEndpoints turns an endpoint update into a message to each endpoint that it names or drops. It creates the records
 // of new endpoints and deletes expired ones at once, so that the other events of the batch find them. Expired ones go first:
 // an endpoint that is listed again after that gets a new record, which its entry is applied to.
@@ -97,6 +106,7 @@
 		name:           entry.Name,
 		tieBreak:       subset.TieBreak(a.random.ExpFloat64(), entry.Weight), // as given: without a weight it comes last
 		status:         membership.Status{State: Removed},
+		notReadySince:  a.now,
 		lastListedAt:   a.now,
 		lastAnsweredAt: outlier.AssumedAnswer(firstUpdate, a.now),
 	}
@@ -129,17 +139,17 @@
 	e.startedAt = entry.StartedAt
 	e.listedWeight = cmp.Or(math.Max(entry.Weight, 0), 1)
 	e.lastListedAt = assigner.now
-	e.status = membership.Status{State: entry.State}
+	e.setStatus(membership.Status{State: entry.State}, assigner.now)
 	assigner.zone(e.zone)
 }
 
 // applyDrop applies the endpoint's removal from the list, and does so again at each tick while it is delisted.
 func (e *endpoint) applyDrop(assigner *Assigner) {
-	e.status = membership.AfterDrop(e.status, membership.Drop{
+	e.setStatus(membership.AfterDrop(e.status, membership.Drop{
 		RemovalIsAdvisory: assigner.config.RemovalIsAdvisory,
 		LastAnsweredAt:    e.lastAnsweredAt,
 		Now:               assigner.now,
-	})
+	}), assigner.now)
 }
 
 // recordLoad records what the proxies of one zone observed of the endpoint.
@@ -156,7 +166,7 @@
 	})
 	if report.Attempts > report.Failed {
 		e.lastAnsweredAt = assigner.now
-		e.status = membership.AfterAnswer(e.status)
+		e.setStatus(membership.AfterAnswer(e.status), assigner.now)
 	}
 }
 
--- a/assign/ordering/ordering.go
+++ b/assign/ordering/ordering.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"madderhollow/assign/timing"
@@ -19,10 +20,38 @@
 	urgentWindow = 0.9
 )
 
+// Channel is what a deployment's settings say of the channel.
+type Channel struct {
+	QueueLimit     float64 // lines that may be queued
+	LinesPerSecond float64 // that it carries, 1/s; 0: not stated
+	MaxTransit     float64 // the longest time of a message after it has left the channel, s
+	UrgentGrace    float64 // time within which urgent orders have to be in force, s; 0: not stated
+}
+
+const (
+	// queuedPart is the part of the time left for urgent orders that the queue may take. A message in the queue cannot be
+	// overtaken, so that the other part is left for those that become due while it is full.
+	queuedPart = 0.5
+	// minQueueTime is the least time that the queue may take, s: acknowledgments arrive later than messages leave, and
+	// meanwhile the channel has to be kept busy.
+	minQueueTime = 1.0
+)
+
+// Limit returns the number of lines that the assigner queues at most: the platform's limit, or what the channel carries in a
+// part of the time within which urgent orders have to be in force, if that is less.
+func (c Channel) Limit() float64 {
+	if c.LinesPerSecond == 0 || c.UrgentGrace == 0 {
+		return c.QueueLimit
+	}
+	queueTime := math.Max(queuedPart*(c.UrgentGrace-c.MaxTransit), minQueueTime)
+	return math.Min(c.QueueLimit, c.LinesPerSecond*queueTime)
+}
+
 // Message is what the place of a message in the channel depends on.
 type Message struct {
 	Lines         float64 // that it occupies in the channel
 	Urgent        bool    // a guarantee depends on its orders
+	UrgentSince   float64 // time from which that guarantee's limit runs, s; read only if Urgent
 	LastMessageAt float64 // time of the last message to the same proxy, s; 0: none since it was last disconnected
 }
 
@@ -43,24 +72,32 @@
 	return ordinaryWindow
 }
 
-// Compare orders messages for slices.SortStableFunc: urgent ones first, and among equals the proxy that has waited
-// longest, so that none starves.
+// Compare orders messages for slices.SortStableFunc: urgent ones first, of these the one whose limit runs longest, and
+// among equals the proxy that has waited longest, so that none starves.
 func Compare(x, y Message) int {
 	switch {
 	case x.Urgent && !y.Urgent:
 		return -1
 	case y.Urgent && !x.Urgent:
 		return 1
+	case x.Urgent && x.UrgentSince != y.UrgentSince:
+		return cmp.Compare(x.UrgentSince, y.UrgentSince)
 	}
 	return cmp.Compare(x.LastMessageAt, y.LastMessageAt)
 }
 
 // Fits reports whether the channel takes the message. InFlight is the number of lines that have not been
-// acknowledged, queueLimit the number that may be queued.
+// acknowledged, queueLimit the number that may be queued (Channel.Limit).
 func Fits(message Message, inFlight, queueLimit float64) bool {
 	return inFlight+message.Lines <= message.window()*queueLimit
 }
 
+// Crowded reports whether the channel has no room for all urgent messages, whose lines are summed up. They carry their
+// essential part alone then, so that more of them leave in time.
+func Crowded(urgentLines, inFlight, queueLimit float64) bool {
+	return !Fits(Message{Lines: urgentLines, Urgent: true}, inFlight, queueLimit)
+}
+
 // minMessageInterval is the least time between two ordinary messages to a proxy, s. Changes within it share a
 // message.
 const minMessageInterval = timing.TickInterval / 2
--- a/assign/ordering/ordering_test.go
+++ b/assign/ordering/ordering_test.go
@@ -52,6 +52,48 @@
 	}
 }
 
+// The queue takes half of the time that is left for urgent orders, at least a second of what the channel carries, and never
+// more lines than the platform allows.
+func TestChannelLimit(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		channel ordering.Channel
+		want    float64
+	}{
+		{"nothing stated but the limit", ordering.Channel{QueueLimit: 1000}, 1000},
+		{"no pace stated", ordering.Channel{QueueLimit: 1000, UrgentGrace: 3}, 1000},
+		{"no grace stated", ordering.Channel{QueueLimit: 1000, LinesPerSecond: 100}, 1000},
+		{"half of the time", ordering.Channel{QueueLimit: 1000, LinesPerSecond: 100, MaxTransit: 1, UrgentGrace: 7}, 300},
+		{"time for more than the limit", ordering.Channel{QueueLimit: 200, LinesPerSecond: 100, MaxTransit: 1, UrgentGrace: 7}, 200},
+		{"hardly any time", ordering.Channel{QueueLimit: 1000, LinesPerSecond: 100, MaxTransit: 2, UrgentGrace: 1}, 100},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.channel.Limit(); got != test.want {
+				t.Errorf("got %g lines, want %g", got, test.want)
+			}
+		})
+	}
+}
+
+func TestCrowded(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		lines    float64
+		inFlight float64
+		want     bool
+	}{
+		{"all urgent messages fit", 50, 40, false},
+		{"one line too many", 51, 40, true},
+		{"none is urgent", 0, 90, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := ordering.Crowded(test.lines, test.inFlight, 100); got != test.want {
+				t.Errorf("got %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
 func TestCompare(t *testing.T) {
 	messages := []ordering.Message{
 		{Lines: 1, LastMessageAt: 7},
@@ -70,6 +112,25 @@
 	}
 }
 
+// The urgent message whose limit runs longest goes first, whenever its proxy received the last one; that of an ordinary
+// message does not count.
+func TestComparePrefersLongestRunningLimit(t *testing.T) {
+	messages := []ordering.Message{
+		{Lines: 1, Urgent: true, UrgentSince: 5, LastMessageAt: 1},
+		{Lines: 2, UrgentSince: 1, LastMessageAt: 1},
+		{Lines: 3, Urgent: true, UrgentSince: 4, LastMessageAt: 3},
+		{Lines: 4, Urgent: true, UrgentSince: 4, LastMessageAt: 2},
+	}
+	slices.SortStableFunc(messages, ordering.Compare)
+	var got []float64
+	for _, m := range messages {
+		got = append(got, m.Lines)
+	}
+	if want := []float64{4, 3, 1, 2}; !slices.Equal(got, want) {
+		t.Errorf("got order %v, want %v", got, want)
+	}
+}
+
 func TestAllowed(t *testing.T) {
 	for _, test := range []struct {
 		name        string
--- a/assign/proxy.go
+++ b/assign/proxy.go
@@ -32,6 +32,7 @@
 
 	// Written by connect.
 	zone        string
+	connectedAt float64             // s
 	typicalRate float64             // of requests on a usual day, 1/s
 	contents    assignment.Contents // of the tables that it held when it connected
 
@@ -108,6 +109,7 @@
 // along.
 func (p *proxy) connect(assigner *Assigner, event ProxyConnected) {
 	p.connected = true
+	p.connectedAt = assigner.now
 	p.zone = event.Zone
 	p.typicalRate = event.TypicalRate
 	p.lastReportAt = assigner.now
--- a/assign/scheduler.go
+++ b/assign/scheduler.go
@@ -13,16 +13,27 @@
 // allow, so that the channel's queue stays short even while the channel is slower than configured.
 type orderScheduler struct {
 	// Written by newOrderScheduler only.
-	channel     ChannelConfig
-	maxMessages int // to one proxy within the channel's message window; 0: no limit
+	messageOverhead float64 // lines that a message costs in addition to its orders
+	queueLimit      float64 // lines that may be in flight, see ordering.Channel.Limit
+	maxMessages     int     // to one proxy within the channel's message window; 0: no limit
 
 	sequence int      // of the last batch that asked for acknowledgments; written by run
 	pending  []*proxy // whose tables may have to change; written by request and run
 	retryAt  float64  // time at which the proxies that had to wait are tried again, s; written by request and run
 }
 
-func newOrderScheduler(channel ChannelConfig) *orderScheduler {
-	return &orderScheduler{channel: channel, maxMessages: int(channel.MessageLimit)}
+func newOrderScheduler(config Config) *orderScheduler {
+	channel := ordering.Channel{
+		QueueLimit:     config.Channel.QueueLimit,
+		LinesPerSecond: config.Channel.LinesPerSecond,
+		MaxTransit:     config.Channel.MaxTransit,
+		UrgentGrace:    config.DrainGrace,
+	}
+	return &orderScheduler{
+		messageOverhead: config.Channel.MessageOverhead,
+		queueLimit:      channel.Limit(),
+		maxMessages:     int(config.Channel.MessageLimit),
+	}
 }
 
 // request has the tables of a proxy computed at the end of the batch; nil stands for all proxies. Proxies that had to wait
@@ -41,9 +52,16 @@
 
 // delivery is the message that a proxy should receive.
 type delivery struct {
-	proxy   *proxy
-	orders  []Order
-	message ordering.Message
+	proxy     *proxy
+	orders    []Order
+	essential []Order // see tableOrders
+	message   ordering.Message
+}
+
+// reduce drops the orders of an urgent message that are not essential.
+func (d *delivery) reduce(messageOverhead float64) {
+	d.orders = d.essential
+	d.message.Lines = ordering.Lines(len(d.orders), messageOverhead)
 }
 
 // run recomputes all zones and sends the orders of the pending proxies as far as the channel takes them; the others stay
@@ -56,16 +74,20 @@
 	inFlight := linesInFlight(assigner.proxies)
 	sequence := (s.sequence + 1) % sequenceCount
 	sent := false
-	for _, d := range deliveries {
-		fits := ordering.Fits(d.message, inFlight, s.channel.QueueLimit)
-		if !fits || !ordering.Allowed(d.proxy.history(assigner), d.message.Urgent, s.maxMessages) {
-			s.pending = append(s.pending, d.proxy)
+	crowded := ordering.Crowded(urgentLines(deliveries), inFlight, s.queueLimit)
+	for _, delivery := range deliveries {
+		if crowded && delivery.message.Urgent {
+			delivery.reduce(s.messageOverhead)
+		}
+		fits := ordering.Fits(delivery.message, inFlight, s.queueLimit)
+		if !fits || !ordering.Allowed(delivery.proxy.history(assigner), delivery.message.Urgent, s.maxMessages) {
+			s.pending = append(s.pending, delivery.proxy)
 			continue
 		}
 		sent = true
-		inFlight += d.message.Lines
-		assigner.order(d.orders...)
-		assigner.send(ordersSent{d.proxy, d.orders, unacknowledgedMessage{sequence, d.message.Lines}})
+		inFlight += delivery.message.Lines
+		assigner.order(delivery.orders...)
+		assigner.send(ordersSent{delivery.proxy, delivery.orders, unacknowledgedMessage{sequence, delivery.message.Lines}})
 	}
 	if sent {
 		s.sequence = sequence
@@ -80,23 +102,34 @@
 // takeDeliveries returns the messages of the pending proxies in the order in which they are sent. No proxy is pending then.
 // Tables are built in the order of pending, on which the plans' loads depend.
 func (s *orderScheduler) takeDeliveries(assigner *Assigner) (deliveries []*delivery) {
-	for _, p := range s.pending {
-		result := p.tableOrders(assigner)
+	for _, pending := range s.pending {
+		result := pending.tableOrders(assigner)
 		if len(result.orders) == 0 {
 			continue
 		}
 		message := ordering.Message{
-			Lines:         ordering.Lines(len(result.orders), s.channel.MessageOverhead),
+			Lines:         ordering.Lines(len(result.orders), s.messageOverhead),
 			Urgent:        result.urgent,
-			LastMessageAt: p.lastMessageAt(),
+			UrgentSince:   result.urgentSince,
+			LastMessageAt: pending.lastMessageAt(),
 		}
-		deliveries = append(deliveries, &delivery{p, result.orders, message})
+		deliveries = append(deliveries, &delivery{pending, result.orders, result.essential, message})
 	}
 	s.pending = nil
 	slices.SortStableFunc(deliveries, func(x, y *delivery) int { return ordering.Compare(x.message, y.message) })
 	return deliveries
 }
 
+// urgentLines returns the sum of the lines of the urgent messages.
+func urgentLines(deliveries []*delivery) (lines float64) {
+	for _, d := range deliveries {
+		if d.message.Urgent {
+			lines += d.message.Lines
+		}
+	}
+	return lines
+}
+
 // linesInFlight returns the number of lines that the channel may still hold.
 func linesInFlight(proxies []*proxy) (lines float64) {
 	for _, p := range proxies {
--- a/assign/tables.go
+++ b/assign/tables.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"math"
 	"slices"
 
 	"madderhollow/assign/admission"
@@ -12,14 +13,26 @@
 // tableOrders are the orders that bring a proxy's tables to what they should be. They are urgent if a guarantee depends on
 // them.
 type tableOrders struct {
-	orders []Order
-	urgent bool
+	orders      []Order
+	essential   []Order // the part of them that goes out while the channel has room for urgent messages only
+	urgent      bool
+	urgentSince float64 // time from which the limit of a guarantee runs, s; read only if urgent
 }
 
 // add appends an order.
-func (o *tableOrders) add(order Order, urgent bool) {
+func (o *tableOrders) add(order Order, essential bool) {
 	o.orders = append(o.orders, order)
-	o.urgent = o.urgent || urgent
+	if essential {
+		o.essential = append(o.essential, order)
+	}
+}
+
+// require makes the orders urgent, because the limit of a guarantee runs since a time in seconds.
+func (o *tableOrders) require(since float64) {
+	if !o.urgent || since < o.urgentSince {
+		o.urgentSince = since
+	}
+	o.urgent = true
 }
 
 // tableOrders returns the orders that bring the proxy's tables to what they should be, none if nothing is worth a message.
@@ -37,36 +50,64 @@
 	if !assignment.NeedsTables(inputs) {
 		return tableOrders{}
 	}
-	result := tableOrders{urgent: assignment.UrgentAttachment(inputs)}
+	var result tableOrders
+	if assignment.UrgentAttachment(inputs) {
+		result.require(p.connectedAt)
+	}
 	for _, group := range assigner.groups {
 		p.addTable(assigner, group, &result)
 	}
 	return result
 }
 
-// addTable adds the orders for the table of one group.
+// addTable adds the orders for the table of one group. All of a first table's are essential.
 func (p *proxy) addTable(assigner *Assigner, group *tableGroup, result *tableOrders) {
 	table := p.tableNumber(assigner, group)
 	wanted := p.buildTable(assigner, group)
-	if !p.hasAssignedTables {
-		result.add(ClearTable{table}, false)
+	isFirst := !p.hasAssignedTables
+	if isFirst {
+		result.add(ClearTable{table}, true)
 	}
+	p.addEntries(assigner, group, wanted, result)
+	p.addLimits(assigner, group, wanted, result)
+	if isFirst {
+		result.add(AttachTable{p.id, table, group.classes}, true)
+	}
+}
+
+// addEntries adds the entries of a group's table that changed. All of them are essential where the essential ones alone
+// would leave the table empty.
+func (p *proxy) addEntries(assigner *Assigner, group *tableGroup, wanted builtTable, result *tableOrders) {
+	table := p.tableNumber(assigner, group)
 	held := p.tables[group.index]
-	for _, change := range assignment.Changes(held, wanted.Entries) {
-		urgent := assignment.UrgentEntry(assignment.EntryChange{
+	changes := assignment.Changes(held, wanted.Entries)
+	entries := make([]assignment.EntryChange, len(changes))
+	for i, change := range changes {
+		entries[i] = assignment.EntryChange{
 			From:    subset.WeightOf(held, change.Endpoint),
 			To:      change.Weight,
 			Ready:   change.Endpoint.ready(),
 			Warming: change.Endpoint.warming(assigner),
-		})
-		result.add(SetWeight{table, change.Endpoint.name, change.Weight}, urgent)
+		}
 	}
-	p.addLimits(assigner, group, wanted, result)
-	if !p.hasAssignedTables {
-		result.add(AttachTable{p.id, table, group.classes}, false)
+	allEssential := !p.hasAssignedTables || !assignment.LeavesEntry(len(held), entries)
+	for i, change := range changes {
+		if assignment.UrgentEntry(entries[i]) {
+			result.require(p.urgentSince(assigner, change.Endpoint))
+		}
+		result.add(SetWeight{table, change.Endpoint.name, change.Weight}, allEssential || assignment.EssentialEntry(entries[i]))
 	}
 }
 
+// urgentSince returns the time from which the limit for the proxy's use of an endpoint runs, s: for one that is not ready
+// the time of the notice, or that of the proxy's connection, if that is later; for a warming one now.
+func (p *proxy) urgentSince(assigner *Assigner, e *endpoint) float64 {
+	if e.ready() {
+		return assigner.now
+	}
+	return math.Max(e.notReadySince, p.connectedAt)
+}
+
 // tableNumber returns the number that orders use for the proxy's table of a group: all groups of proxy 0, then of proxy 1,
 // and so on.
 func (p *proxy) tableNumber(assigner *Assigner, group *tableGroup) int {
@@ -97,7 +138,10 @@
 			continue
 		}
 		urgent := assignment.UrgentLimit(held.Rate, limit.Rate, wanted.Warming)
-		result.add(SetRateLimit{table, []int{class.index}, limit.Rate, limit.Retries}, urgent)
+		if urgent {
+			result.require(assigner.now)
+		}
+		result.add(SetRateLimit{table, []int{class.index}, limit.Rate, limit.Retries}, urgent || !p.hasAssignedTables)
 	}
 }
 
--- a/internal/settings/mappings.go
+++ b/internal/settings/mappings.go
@@ -24,6 +24,7 @@
 		{"familyInfo.homeOnly", ownZoneOnly(config.RequestClasses)},
 		{"familyInfo.intakePerS", number(&config.Reports.MaxPerSecond)}, // 1/s
 		{"familyInfo.intervalMs", milliseconds(&config.Reports.Interval)},
+		{"familyInfo.linesPerS", number(&config.Channel.LinesPerSecond)},  // lines per second
 		{"familyInfo.messagesMost", number(&config.Channel.MessageLimit)}, // messages per MessageWindow
 		{"familyInfo.partitionsN", number(&config.Shards)},
 		{"familyInfo.pendingMax", number(&config.Channel.QueueLimit)},      // lines
@@ -31,8 +32,10 @@
 		{"familyInfo.propagationMs", milliseconds(&config.Channel.MeanTransit)},
 		{"familyInfo.proxyCount", number(&config.ProxyCount)},
 		{"familyInfo.usualHow", count(&config.Retries)},
+		{"familyInfo.worstTransitMs", milliseconds(&config.Channel.MaxTransit)},
 		{"obligations.coldFrom", number(&config.WarmUp.InitialFraction)}, // fraction of the capacity
 		{"obligations.coldMs", milliseconds(&config.WarmUp.Duration)},
+		{"obligations.drainGraceMs", milliseconds(&config.DrainGrace)},
 		{"obligations.droppedStayOpen", flag(&config.RemovalIsAdvisory)},
 		{"obligations.fallMs", milliseconds(&config.WarmUp.OverloadWindow)},
 		{"obligations.tipMultiple", number(&config.WarmUp.OverloadMultiple)}, // multiple of the capacity
