--- a/assign/fleet_test.go
+++ b/assign/fleet_test.go
@@ -16,6 +16,7 @@
 	freeAt     float64 // when the channel has carried all lines, s
 	inTransit  []fleetMessage
 	tables     map[int]map[string]float64 // weights above 0, by table and endpoint
+	former     map[int]map[string]float64 // those of another assigner's table, by proxy; until it has one of its own
 	endpoints  []Endpoint
 	drainingAt map[string]float64 // when the assigner was notified, s
 }
@@ -33,9 +34,12 @@
 	fleetStep    = 0.2 // between two batches, s
 )
 
-// newFleet returns a fleet whose proxies have tables of their own. Its channel carries eight lines a second for each proxy,
-// and its queue holds four seconds of that.
-func newFleet(proxies, endpoints int) *fleet {
+// fleetProxyRate is the typical rate of each proxy, 1/s.
+const fleetProxyRate = 10.0
+
+// newFleet returns a fleet of which a number of proxies is connected and has tables of its own. Its channel carries eight
+// lines a second for each proxy, and its queue holds four seconds of that.
+func newFleet(proxies, connected, endpoints int) *fleet {
 	config := modelConfig()
 	config.RequestClasses = config.RequestClasses[:2]
 	config.ProxyCount = float64(proxies)
@@ -44,13 +48,13 @@
 	config.Channel = ChannelConfig{QueueLimit: 4 * pace, LinesPerSecond: pace, MessageOverhead: 10, MessageLimit: 20,
 		MessageWindow: 10, MeanTransit: fleetTransit, MaxTransit: 2 * fleetTransit}
 	deployment := &fleet{assigner: New(1, config), config: config, now: modelStart, tables: map[int]map[string]float64{},
-		drainingAt: map[string]float64{}}
+		former: map[int]map[string]float64{}, drainingAt: map[string]float64{}}
 	for i := range endpoints {
 		deployment.endpoints = append(deployment.endpoints, Endpoint{Zone: zoneOf(i), Name: fmt.Sprint("t", i), Weight: 1})
 	}
 	events := []Event{EndpointUpdate{Full: true, Endpoints: slices.Clone(deployment.endpoints)}}
-	for i := range proxies {
-		events = append(events, ProxyConnected{Proxy: i, Zone: zoneOf(i), TypicalRate: 10})
+	for i := range connected {
+		events = append(events, ProxyConnected{Proxy: i, Zone: zoneOf(i), TypicalRate: fleetProxyRate})
 	}
 	deployment.batch(events...)
 	deployment.run(6, 0)
@@ -102,6 +106,8 @@
 		if order.Weight == 0 {
 			delete(f.tables[order.Table], order.Endpoint)
 		}
+	case AttachTable:
+		delete(f.former, order.Proxy)
 	}
 }
 
@@ -177,7 +183,7 @@
 	for _, test := range []struct{ proxies, endpoints int }{{10, 42}, {100, 98}, {480, 98}, {2400, 42}} {
 		t.Run(fmt.Sprint(test.proxies, " proxies"), func(t *testing.T) {
 			t.Parallel()
-			deployment := newFleet(test.proxies, test.endpoints)
+			deployment := newFleet(test.proxies, test.proxies, test.endpoints)
 			deployment.run(4, 3)
 			wave := test.endpoints / 7
 			for i := range 3 {
