--- a/cmd/madderhollow/assigner.go
+++ b/cmd/madderhollow/assigner.go
@@ -122,6 +122,7 @@
 		Codec:       a.codec,
 		Sink:        a.events.Report,
 		Descriptors: a.config.Descriptors,
+		Zones:       len(a.config.Settings.Zones),
 		MemoryMB:    a.config.MemoryMB,
 		Log:         a.log,
 	})
--- a/internal/reportserver/connections.go
+++ b/internal/reportserver/connections.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// maxCollectors bounds the connections of collectors, because any client can claim to be one. There is one collector per
-	// zone; other connections are left over from broken ones. With more than maxCollectors zones, collectors evict each other.
-	maxCollectors = 16
+	// maxCollectors and maxCollectorsPerZone bound the connections of collectors, because any client can claim to be one. There
+	// is one collector per zone; other connections are left over from broken ones. The greater bound counts.
+	maxCollectors        = 16
+	maxCollectorsPerZone = 2
 	// minEvictionAge is the age before which an unidentified connection is not evicted: the first line of a collector may
 	// still be on its way.
 	minEvictionAge = 100 * time.Millisecond
@@ -45,10 +46,17 @@
 	mu      sync.Mutex
 	clients map[*client]struct{}
 	max     int
+
+	maxCollectors int // of them
 }
 
-func newConnections(limit int) *connections {
-	return &connections{clients: map[*client]struct{}{}, max: limit}
+// newConnections returns an empty table for a number of connections and of zones.
+func newConnections(limit, zones int) *connections {
+	return &connections{
+		clients:       map[*client]struct{}{},
+		max:           limit,
+		maxCollectors: max(maxCollectors, maxCollectorsPerZone*zones),
+	}
 }
 
 // add records a connection, and closes it if the context has ended, since closeAll may have run already.
@@ -98,7 +106,7 @@
 	}
 }
 
-// limitCollectors evicts the collector that has been silent for longest if there are more than maxCollectors.
+// limitCollectors evicts the collector that has been silent for longest if there are too many.
 func (cs *connections) limitCollectors() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
@@ -113,7 +121,7 @@
 			stalest = c
 		}
 	}
-	if collectors > maxCollectors {
+	if collectors > cs.maxCollectors {
 		stalest.close()
 	}
 }
--- a/internal/reportserver/connections_test.go
+++ b/internal/reportserver/connections_test.go
@@ -1,9 +1,12 @@
 package reportserver
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"madderhollow/internal/collectortest"
 	"madderhollow/internal/eventually"
 )
@@ -52,3 +55,23 @@
 		t.Errorf("got %d open connections, want %d", server.connections.count(), maxCollectors)
 	}
 }
+
+// Each zone of a large deployment keeps its collector.
+func TestCollectorsOfManyZonesStayConnected(t *testing.T) {
+	zones := make([]string, maxCollectors+1)
+	for i := range zones {
+		zones[i] = fmt.Sprint("zone-", i)
+	}
+	address, events, _ := startServerWithZones(t, 1000, zones, zerolog.Nop())
+	collectors := make([]*collectortest.Collector, len(zones))
+	for i, zone := range zones {
+		collectors[i] = dialFrom(t, address, zone)
+		mustReport(t, collectors[i], i)
+		next(t, events)
+	}
+	for i, collector := range collectors {
+		if err := collector.Ping(timeout); err != nil {
+			t.Errorf("collector of %s: got no pong: %v", zones[i], err)
+		}
+	}
+}
--- a/internal/reportserver/harness_test.go
+++ b/internal/reportserver/harness_test.go
@@ -50,15 +50,23 @@
 
 // startServerWithLog is startServer with a logger.
 func startServerWithLog(t *testing.T, connections int, log zerolog.Logger) (address string, events chan assign.Event, server *Server) {
+	t.Helper()
+	return startServerWithZones(t, connections, []string{"a", "b"}, log)
+}
+
+// startServerWithZones is startServer with a deployment's zones and a logger.
+func startServerWithZones(t *testing.T, connections int, zones []string, log zerolog.Logger,
+) (address string, events chan assign.Event, server *Server) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	events = make(chan assign.Event, 10000)
-	codec := wire.NewCodec(testconfig.New([]string{"a", "b"}, 8, "read"), time.Now())
+	codec := wire.NewCodec(testconfig.New(zones, 8, "read"), time.Now())
 	sink := func(_ context.Context, event assign.Event) error { events <- event; return nil }
-	server = New(Config{Codec: codec, Sink: sink, Descriptors: connections + spareDescriptors, MemoryMB: 32, Log: log})
+	server = New(Config{Codec: codec, Sink: sink, Descriptors: connections + spareDescriptors, Zones: len(zones),
+		MemoryMB: 32, Log: log})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { defer close(ended); server.Serve(ctx, listener) }() // ends with the test
@@ -98,7 +106,13 @@
 // dial connects a collector of zone a until the end of the test.
 func dial(t *testing.T, address string) *collectortest.Collector {
 	t.Helper()
-	collector, err := collectortest.Dial(address, "a")
+	return dialFrom(t, address, "a")
+}
+
+// dialFrom connects a collector of a zone until the end of the test.
+func dialFrom(t *testing.T, address, zone string) *collectortest.Collector {
+	t.Helper()
+	collector, err := collectortest.Dial(address, zone)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/reportserver/server.go
+++ b/internal/reportserver/server.go
@@ -43,6 +43,7 @@
 	// Descriptors is the process's limit on open file descriptors. All but spareDescriptors of them are for clients, and at
 	// least one is; required.
 	Descriptors int
+	Zones       int // of the deployment, each of which has a collector; default 0: unknown
 	MemoryMB    int // the process's memory limit, of which lines being read get 1/lineMemoryDivisor; required
 	Log         zerolog.Logger
 }
@@ -74,7 +75,7 @@
 		sink:        config.Sink,
 		log:         log,
 		limitedLog:  loglimit.New(log),
-		connections: newConnections(max(1, config.Descriptors-spareDescriptors)),
+		connections: newConnections(max(1, config.Descriptors-spareDescriptors), config.Zones),
 		lineBudget:  &byteBudget{limit: int64(config.MemoryMB) * bytesPerMB / lineMemoryDivisor},
 	}
 }
