--- a/internal/discovery/connection.go
+++ b/internal/discovery/connection.go
@@ -49,8 +49,9 @@
 
 // request is a request for the full list, or for the changes after a version.
 type request struct {
-	full  bool
-	after int // version; unused if full
+	full    bool
+	after   int   // version; unused if full
+	fetches int64 // number of calls of Watcher.Fetch before it was made, which its answer fulfills if full
 }
 
 // pollState is what pollAgent delivers to Watcher.receive: once before the first request of a connection, and after each
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -53,11 +53,12 @@
 	delays    *backoff.Backoff
 	maxAnswer int64 // bytes
 
-	reportFailures atomic.Bool // the module wants an event for each failure, ordinary closes by the agent included
-	fetchWanted    atomic.Bool // the module wants the full list
+	reportFailures atomic.Bool  // the module wants an event for each failure, ordinary closes by the agent included
+	fetches        atomic.Int64 // calls of Fetch
 
 	// The rest is used by the goroutine that calls Run.
 	version          listVersion
+	fetchesFulfilled int64                   // calls of Fetch that an answer with the full list has followed
 	watchFailures    *conditionlog.Condition // of the watch that the module depends on
 	handoverFailures *conditionlog.Condition // of the watch at a new address, while the old one is watched
 }
@@ -97,7 +98,7 @@
 // Fetch makes the next request one for the full list, and enables the events for failures.
 func (w *Watcher) Fetch() {
 	w.reportFailures.Store(true)
-	w.fetchWanted.Store(true)
+	w.fetches.Add(1)
 }
 
 // Run watches the list until the context ends. It must be called once. When the address moves, it requests the full list
@@ -151,18 +152,22 @@
 	if address, _ := w.address.Current(); poll.address == address {
 		w.handoverFailures.Recover()
 	}
-	poll.next = request{full: w.fetchWanted.Swap(false), after: w.version.held}
+	if poll.next.full {
+		w.fetchesFulfilled = poll.next.fetches
+	}
+	poll.next = w.request(false)
 	return true
 }
 
-// firstRequest returns the first request of a connection. It clears fetchWanted only if that alone makes the request one for
-// the full list.
+// firstRequest returns the first request of a connection.
 func (w *Watcher) firstRequest(duringHandover bool) request {
-	full := duringHandover || w.version.needsFullList()
-	if !full {
-		full = w.fetchWanted.Swap(false)
-	}
-	return request{full: full, after: w.version.held}
+	return w.request(duringHandover || w.version.needsFullList())
+}
+
+// request returns the next request: for the full list if it is needed or a call of Fetch is not fulfilled yet.
+func (w *Watcher) request(fullNeeded bool) request {
+	fetches := w.fetches.Load()
+	return request{full: fullNeeded || fetches > w.fetchesFulfilled, after: w.version.held, fetches: fetches}
 }
 
 // apply passes an update to the module, unless its version rules it out or it changes nothing.
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -271,6 +271,30 @@
 	}
 }
 
+// A request for the full list that gets no answer does not end the module's wish for it.
+func TestWatcherFetchesFullListAfterLostAnswer(t *testing.T) {
+	t.Parallel()
+	setup := startHarness(t)
+	var lost atomic.Bool
+	setup.Intercept(func(_ http.ResponseWriter, r *http.Request) bool {
+		if wantsFull(r) && !lost.Swap(true) {
+			panic(http.ErrAbortHandler) // resets the connection
+		}
+		return false
+	})
+	setup.watcher.Fetch()
+	for {
+		update := setup.next(t)
+		if update.Failed {
+			continue
+		}
+		if !lost.Load() || update.Version != firstVersion || !update.Full {
+			t.Errorf("got %+v, lost answer %t, want the full list of version %d after a lost answer", update, lost.Load(), firstVersion)
+		}
+		return
+	}
+}
+
 // Changes are reported at all times: by the old agent while no agent answers at the new address or the new one has not
 // sent the full list, by the new agent from then on.
 func TestWatcherReplacesAgentWhenAddressMoves(t *testing.T) {
