--- a/assign/fleet_warming_test.go
+++ b/assign/fleet_warming_test.go
@@ -95,7 +95,7 @@
 			const utilization = 0.9
 			capacity := fleetProxyRate * float64(test.proxies) / float64(test.endpoints) / utilization
 			got, name := deployment.maxOverload(8, capacity)
-	if most := deployment.config.WarmUp.OverloadMultiple; got > most {
+			if most := deployment.config.WarmUp.OverloadMultiple; got > most {
 				t.Errorf("got %s sent %.1f times what it could do, want at most %g times", name, got, most)
 			}
 		})
--- a/cmd/madderhollow/main.go
+++ b/cmd/madderhollow/main.go
@@ -46,11 +46,17 @@
 // run is main with its inputs as parameters. It returns once the program has ended. The retry policy applies to a
 // configuration file that cannot be used yet.
 func run(args []string, env func(string) string, retry config.Retry) (exitCode int) {
-	// Signals are handled from here on; before, they would kill the process.
-	reload := make(chan os.Signal, 1)
+	// Signals are handled from here to the exit. Before, they would kill the process; so would a second one after a call of
+	// signal.Stop.
+	reload, terminated := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
+	signal.Notify(terminated, syscall.SIGTERM, os.Interrupt)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { // ends with the process
+		<-terminated
+		cancel()
+	}()
 	// A part that blocks, for instance on a log that is not read, must not delay the exit. A forced exit has status 0, too,
 	// and logs nothing.
 	context.AfterFunc(ctx, func() { time.AfterFunc(shutdownTimeout, func() { os.Exit(exitOK) }) })
--- a/internal/reportserver/connections.go
+++ b/internal/reportserver/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,7 @@
 	acceptedAt time.Time
 	lastRead   atomic.Int64           // Unix time in ns
 	zone       atomic.Pointer[string] // of a collector; nil: unidentified
+	finishing  atomic.Bool            // nothing more is read from the connection
 }
 
 func newClient(conn net.Conn) *client {
@@ -36,6 +38,26 @@
 // identified reports whether the client is a collector.
 func (c *client) identified() bool { return c.zone.Load() != nil }
 
+// finish ends the reading from the connection. The session answers the messages that it has read, and then closes it.
+func (c *client) finish() {
+	c.finishing.Store(true)
+	_ = c.setReadDeadline(time.Time{}) // the only error is that the connection is closed
+}
+
+// setReadDeadline sets the read deadline, which has passed once finish was called.
+func (c *client) setReadDeadline(deadline time.Time) error {
+	if err := c.conn.SetReadDeadline(deadline); err != nil {
+		return fmt.Errorf("set read deadline: %w", err)
+	}
+	if !c.finishing.Load() { // read after the deadline was set: finish may be called between the two
+		return nil
+	}
+	if err := c.conn.SetReadDeadline(c.acceptedAt); err != nil {
+		return fmt.Errorf("set read deadline: %w", err)
+	}
+	return nil
+}
+
 // close closes the connection, which ends blocked reads and writes. It may be called again.
 func (c *client) close() {
 	_ = c.conn.Close() // the only error is that it is closed already
@@ -59,7 +81,7 @@
 	}
 }
 
-// add records a connection, and closes it if the context has ended, since closeAll may have run already.
+// add records a connection, and closes it if the context has ended, since finishAll may have run already.
 func (cs *connections) add(ctx context.Context, c *client) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
@@ -77,12 +99,12 @@
 	delete(cs.clients, c)
 }
 
-// closeAll closes all connections. Their sessions then remove them.
-func (cs *connections) closeAll() {
+// finishAll finishes all connections. Their sessions then remove them.
+func (cs *connections) finishAll() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for c := range cs.clients {
-		c.close()
+		c.finish()
 	}
 }
 
@@ -95,13 +117,13 @@
 // hasRoom reports whether another connection may be accepted. If not, new ones wait in the kernel's queue.
 func (cs *connections) hasRoom() bool { return cs.count() < cs.max }
 
-// evictUnidentified closes all unidentified connections of at least minEvictionAge. Their sessions then remove them.
+// evictUnidentified finishes all unidentified connections of at least minEvictionAge. Their sessions then remove them.
 func (cs *connections) evictUnidentified() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for c := range cs.clients {
 		if !c.identified() && time.Since(c.acceptedAt) > minEvictionAge {
-			c.close()
+			c.finish()
 		}
 	}
 }
@@ -113,7 +135,7 @@
 	var stalest *client
 	collectors := 0
 	for c := range cs.clients {
-		if !c.identified() {
+		if !c.identified() || c.finishing.Load() {
 			continue
 		}
 		collectors++
@@ -122,6 +144,6 @@
 		}
 	}
 	if collectors > cs.maxCollectors {
-		stalest.close()
+		stalest.finish()
 	}
 }
--- a/internal/reportserver/connections_test.go
+++ b/internal/reportserver/connections_test.go
@@ -1,7 +1,10 @@
 package reportserver
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,3 +78,26 @@
 		}
 	}
 }
+
+// A connection that the server ends answers the pings that were read, and then refuses.
+func TestEndedConnectionAnswersPingsThatWereRead(t *testing.T) {
+	const pings = 50
+	address, _, server := startServer(t, 5)
+	conn := connect(t, address)
+	if _, err := io.WriteString(conn, strings.Repeat(pingLine+"\n", pings)); err != nil { // in one segment, so in one read
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(conn)
+	var answers []string
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			break
+		}
+		answers = append(answers, line)
+		server.connections.finishAll()
+	}
+	if len(answers) != pings+1 || answers[len(answers)-1] != refusedLine+"\n" {
+		t.Errorf("got %d answers, the last %q; want %d pongs and %q", len(answers), answers[max(0, len(answers)-1):], pings, refusedLine)
+	}
+}
--- a/internal/reportserver/lines.go
+++ b/internal/reportserver/lines.go
@@ -123,24 +123,17 @@
 // collector may be silent between lines without limit, so for it setDeadline blocks until the line has begun.
 func (l *lineReader) setDeadline() error {
 	if !l.client.identified() {
-		return l.setReadDeadline(l.client.acceptedAt.Add(identificationTimeout))
+		return l.client.setReadDeadline(l.client.acceptedAt.Add(identificationTimeout))
 	}
 	if l.reader.Buffered() == 0 {
-		if err := l.setReadDeadline(time.Time{}); err != nil {
+		if err := l.client.setReadDeadline(time.Time{}); err != nil {
 			return err
 		}
 		if _, err := l.reader.Peek(1); err != nil {
 			return fmt.Errorf("await line: %w", err)
 		}
 	}
-	return l.setReadDeadline(time.Now().Add(lineTimeout))
-}
-
-func (l *lineReader) setReadDeadline(deadline time.Time) error {
-	if err := l.client.conn.SetReadDeadline(deadline); err != nil {
-		return fmt.Errorf("set read deadline: %w", err)
-	}
-	return nil
+	return l.client.setReadDeadline(time.Now().Add(lineTimeout))
 }
 
 // finish returns the line that a part completes, and releases the bytes of its prefix.
--- a/internal/reportserver/server.go
+++ b/internal/reportserver/server.go
@@ -89,15 +89,15 @@
 	}
 }
 
-// Serve accepts connections until the context ends, and then closes the listener and all connections and waits for their
-// goroutines. The caller must not call it before the assigner is ready, because the server answers pings from its first
+// Serve accepts connections until the context ends, and then closes the listener, reads nothing more and waits until all
+// sessions have answered what they have read, which takes writeTimeout at most for a client that reads no answers. The caller must not call it before the assigner is ready, because the server answers pings from its first
 // connection on.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) {
 	var sessions sync.WaitGroup
 	defer sessions.Wait()
 	stop := context.AfterFunc(ctx, func() {
 		_ = listener.Close() // the only error is that it is closed already
-		s.connections.closeAll()
+		s.connections.finishAll()
 	})
 	defer stop()
 	for {
@@ -108,7 +108,7 @@
 		client := newClient(conn)
 		s.connections.add(ctx, client)
 		sessions.Add(1)
-		go func() { // ends with the connection, at the latest when closeAll closes it; Serve waits for it
+		go func() { // ends with the connection, at the latest after finishAll; Serve waits for it
 			defer sessions.Done()
 			s.serve(ctx, client)
 		}()
--- a/internal/reportserver/session.go
+++ b/internal/reportserver/session.go
@@ -39,7 +39,7 @@
 //	               maxUnidentifiedLineSize, identificationTimeout or eviction leads to closed
 //	identified     reports go to the sink; pings are answered; another collector message sets the zone; malformed lines
 //	               are skipped; too many of them in a row, lineTimeout, a failed write or eviction leads to closed
-//	closed         run has returned; refuse logs the reason and tries to send a last line, in vain after an eviction
+//	closed         run has returned; refuse logs the reason and tries to send a last line
 //
 // A client that closes its connection, and the end of the context, lead to closed without refuse. The former is logged if the
 // client was a collector.
@@ -91,6 +91,8 @@
 // a line.
 func (s *session) closeReason(err error) error {
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && s.client.finishing.Load():
+		return ErrEvicted
 	case errors.Is(err, os.ErrDeadlineExceeded) && s.client.identified():
 		return ErrLineTimeout
 	case errors.Is(err, os.ErrDeadlineExceeded):
