--- a/internal/wire/relayevents.go
+++ b/internal/wire/relayevents.go
@@ -46,10 +46,14 @@
 	}
 }
 
+// sequenceTerm is what the field of a sequence number holds.
+const sequenceTerm = "sequence number"
+
 func (c *Codec) acknowledged(fields *eventFields) assign.Acknowledged {
+	sequence := fields.number(sequenceField, sequenceTerm)
 	return assign.Acknowledged{
 		Proxy:    c.eventProxy(fields),
-		Sequence: int(fields.number(sequenceField, "sequence number")), // a fraction is cut off
+		Sequence: fields.checks.Count(sequenceField, sequenceTerm, &sequence, maxNumber),
 		Latency:  fields.number(ackLatencyField, "latency in ms") / millisecondsPerSecond,
 	}
 }
--- a/internal/wire/relayevents_test.go
+++ b/internal/wire/relayevents_test.go
@@ -29,6 +29,7 @@
 		{"left", invalidInput{input: "node=", field: "node"}},
 		{"left", invalidInput{input: "%zz"}},
 		{"applied", invalidInput{input: "node=1&nonce=-1&latency=0", field: "nonce"}},
+		{"applied", invalidInput{input: "node=1&nonce=905.5&latency=0", field: "nonce"}},
 		{"odd", invalidInput{input: "node=1", is: ErrUnknownMessage}},
 		{"odd", invalidInput{input: "node=x", is: ErrUnknownMessage}},
 		{"odd", invalidInput{input: "", is: ErrUnknownMessage}},
