--- a/assign/endpoint.go
+++ b/assign/endpoint.go
@@ -104,7 +104,7 @@
 func (a *Assigner) newEndpoint(entry Endpoint, firstUpdate bool) *endpoint {
 	return &endpoint{
 		name:           entry.Name,
-		tieBreak:       subset.TieBreak(a.random.ExpFloat64(), entry.Weight), // as given: without a weight it comes last
+		tieBreak:       subset.TieBreak(a.random.ExpFloat64(), listedWeight(entry)),
 		status:         membership.Status{State: Removed},
 		notReadySince:  a.now,
 		lastListedAt:   a.now,
@@ -112,6 +112,9 @@
 	}
 }
 
+// listedWeight returns the weight of an entry of the list; one that states none weighs 1.
+func listedWeight(entry Endpoint) float64 { return cmp.Or(math.Max(entry.Weight, 0), 1) }
+
 // deleteExpiredEndpoints deletes the records of endpoints removed long ago. Default tables may still hold such an endpoint,
 // so every default table has to be replaced from then on.
 func (a *Assigner) deleteExpiredEndpoints() {
@@ -137,7 +140,7 @@
 	}
 	e.zone = entry.Zone
 	e.startedAt = entry.StartedAt
-	e.listedWeight = cmp.Or(math.Max(entry.Weight, 0), 1)
+	e.listedWeight = listedWeight(entry)
 	e.lastListedAt = assigner.now
 	e.setStatus(membership.Status{State: entry.State}, assigner.now)
 	assigner.zone(e.zone)
--- a/assign/known_faults_test.go
+++ b/assign/known_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 
 	"madderhollow/assign/admission"
@@ -235,6 +236,26 @@
 	}
 }
 
+// TestEndpointWithoutWeightTiesAsWeightOne lists endpoints without a weight, which stands for 1. They break ties as endpoints of
+// weight 1 do.
+func TestEndpointWithoutWeightTiesAsWeightOne(t *testing.T) {
+	tieBreaks := func(weight float64) (values []float64) {
+		assigner := New(1, modelConfig())
+		listed := newEndpoints("x", 6)
+		for i := range listed {
+			listed[i].Weight = weight
+		}
+		assigner.Handle(1000, []Event{EndpointUpdate{Full: true, Endpoints: listed}})
+		for _, e := range assigner.endpointList {
+			values = append(values, e.tieBreak)
+		}
+		return values
+	}
+	if got, want := tieBreaks(0), tieBreaks(1); !slices.Equal(got, want) {
+		t.Errorf("got tie breaks %v, want %v as at weight 1", got, want)
+	}
+}
+
 // TestEndpointListedByFirstOfTwoUpdatesIsReady has two updates in one batch, of which the first lists an endpoint again whose
 // record may be deleted.
 func TestEndpointListedByFirstOfTwoUpdatesIsReady(t *testing.T) {
