--- a/assign/assignment/assignment_test.go
+++ b/assign/assignment/assignment_test.go
@@ -168,7 +168,9 @@
 		{"a warming entry falls", assignment.EntryChange{From: 1, To: 0.5, Ready: true, Warming: true}, true},
 		{"a warm entry is new", assignment.EntryChange{To: 1, Ready: true}, true},
 		{"a warming entry is new", assignment.EntryChange{To: 1, Ready: true, Warming: true}, false},
-		{"a warm entry changes", assignment.EntryChange{From: 1, To: 0.5, Ready: true}, false},
+		{"a warm entry falls", assignment.EntryChange{From: 1, To: 0.5, Ready: true}, false},
+		{"a warm entry rises", assignment.EntryChange{From: 0.5, To: 1, Ready: true}, true},
+		{"a warming entry rises", assignment.EntryChange{From: 0.5, To: 1, Ready: true, Warming: true}, false},
 		{"a warm entry leaves", assignment.EntryChange{From: 1, Ready: true}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/assign/assignment/changes.go
+++ b/assign/assignment/changes.go
@@ -57,12 +57,12 @@
 	return change.To < change.From && (!change.Ready || change.Warming)
 }
 
-// EssentialEntry reports whether the change goes out even while the channel has room for urgent messages only: an urgent
-// one, or a warm endpoint's new entry. The latter takes the load of the entries that leave, which would otherwise go to the
-// others of the table, warming ones among them.
+// EssentialEntry reports whether the change goes out even while the channel has no room for all urgent messages: an urgent
+// one, or a warm endpoint's entry that is new or rises. The latter takes load that would otherwise go to the others of the
+// table, warming ones among them.
 func EssentialEntry(change EntryChange) bool {
-	warmNew := change.From == 0 && change.Ready && !change.Warming
-	return warmNew || UrgentEntry(change)
+	warmRises := change.To > change.From && change.Ready && !change.Warming
+	return warmRises || UrgentEntry(change)
 }
 
 // LeavesEntry reports whether a table that holds a number of entries still has one after the essential changes alone.
--- a/assign/proxy.go
+++ b/assign/proxy.go
@@ -26,6 +26,23 @@
 	lines    float64 // that it occupies in the channel
 }
 
+// urgentWait is how long urgent orders for a proxy have been waiting. Its zero value is that none are.
+type urgentWait struct {
+	waiting bool
+	since   float64 // time from which the limit of a guarantee runs, s; read only if waiting
+}
+
+// update returns the wait with the orders that are due now.
+func (w urgentWait) update(due tableOrders) urgentWait {
+	switch {
+	case !due.urgent:
+		return urgentWait{}
+	case w.waiting && w.since < due.urgentSince:
+		return w
+	}
+	return urgentWait{true, due.urgentSince}
+}
+
 // proxy is the record of a proxy. It outlives the connection.
 type proxy struct {
 	id int // written by Assigner.connectingProxy only
@@ -52,6 +69,8 @@
 	tables      [][]tableEntry     // by table group
 	classLimits []assignment.Limit // by request class; without an order as configured
 
+	urgentWait urgentWait // written by orderScheduler.takeDeliveries; ended by recordSent and connect
+
 	// Written by recordSent; reset by disconnect.
 	messageTimes []float64               // of the last messages to it, s; those older than the message window go at the next one
 	inFlight     []unacknowledgedMessage // shortened by acknowledge
@@ -110,6 +129,7 @@
 func (p *proxy) connect(assigner *Assigner, event ProxyConnected) {
 	p.connected = true
 	p.connectedAt = assigner.now
+	p.urgentWait = urgentWait{}
 	p.zone = event.Zone
 	p.typicalRate = event.TypicalRate
 	p.lastReportAt = assigner.now
@@ -188,6 +208,7 @@
 	for _, order := range orders {
 		p.recordOrder(assigner, order)
 	}
+	p.urgentWait = urgentWait{}
 	window := assigner.config.Channel.MessageWindow
 	p.messageTimes = slices.DeleteFunc(p.messageTimes, func(at float64) bool { return assigner.now-at > window })
 	p.messageTimes = append(p.messageTimes, assigner.now)
--- a/assign/roughday_test.go
+++ b/assign/roughday_test.go
@@ -139,6 +139,14 @@
 	})
 }
 
+// TestWarmingEndpointsKeepPartInCrowdedChannel plays a day on which messages reduced to their essential part left warming
+// endpoints too large a part of a table.
+func TestWarmingEndpointsKeepPartInCrowdedChannel(t *testing.T) {
+	if sim := playRoughDay(2248477943952862095); sim.violation != "" {
+		t.Error(sim.violation)
+	}
+}
+
 func TestEqualInputGivesEqualOrders(t *testing.T) {
 	forRoughSeeds(t, func(t *testing.T, seed int64) {
 		t.Helper()
--- a/assign/scheduler.go
+++ b/assign/scheduler.go
@@ -104,13 +104,14 @@
 func (s *orderScheduler) takeDeliveries(assigner *Assigner) (deliveries []*delivery) {
 	for _, pending := range s.pending {
 		result := pending.tableOrders(assigner)
+		pending.urgentWait = pending.urgentWait.update(result)
 		if len(result.orders) == 0 {
 			continue
 		}
 		message := ordering.Message{
 			Lines:         ordering.Lines(len(result.orders), s.messageOverhead),
 			Urgent:        result.urgent,
-			UrgentSince:   result.urgentSince,
+			UrgentSince:   pending.urgentWait.since,
 			LastMessageAt: pending.lastMessageAt(),
 		}
 		deliveries = append(deliveries, &delivery{pending, result.orders, result.essential, message})
--- a/assign/scheduler_test.go
+++ b/assign/scheduler_test.go
@@ -112,3 +112,22 @@
 		}
 	}
 }
+
+// TestUrgentWaitKeepsEarliestTime has urgent orders that cannot be sent, become due anew and are not due any more.
+func TestUrgentWaitKeepsEarliestTime(t *testing.T) {
+	var wait urgentWait
+	for _, step := range []struct {
+		due  tableOrders
+		want urgentWait
+	}{
+		{tableOrders{urgent: true, urgentSince: 5}, urgentWait{true, 5}},
+		{tableOrders{urgent: true, urgentSince: 7}, urgentWait{true, 5}},
+		{tableOrders{urgent: true, urgentSince: 3}, urgentWait{true, 3}},
+		{tableOrders{}, urgentWait{}},
+		{tableOrders{urgent: true, urgentSince: 9}, urgentWait{true, 9}},
+	} {
+		if wait = wait.update(step.due); wait != step.want {
+			t.Errorf("due since %g s (urgent: %t): got %+v, want %+v", step.due.urgentSince, step.due.urgent, wait, step.want)
+		}
+	}
+}
