--- a/cmd/madderhollow/assigner.go
+++ b/cmd/madderhollow/assigner.go
@@ -113,7 +113,7 @@
 // decision module starts. Seeds are drawn in the order of the parts.
 func (a *assigner) makeParts(listVersion int) error {
 	a.events = eventqueue.New()
-	a.orders = orderqueue.New(a.config.Settings.Channel, a.codec, a.log)
+	a.orders = orderqueue.New(orderqueue.Config{Channel: a.config.Settings.Channel, Encoder: a.codec, Log: a.log})
 	if err := a.makeWatcher(listVersion); err != nil {
 		return err
 	}
--- a/internal/orderqueue/bench_test.go
+++ b/internal/orderqueue/bench_test.go
@@ -5,8 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"madderhollow/assign"
 	"madderhollow/internal/testconfig"
 	"madderhollow/internal/wire"
@@ -18,7 +16,7 @@
 	b.Helper()
 	config := testconfig.New([]string{"a"}, proxies, "read", "sign")
 	config.Channel = assign.ChannelConfig{MessageLimit: 20, MessageWindow: 10, MeanTransit: 0.2}
-	queue = New(config.Channel, wire.NewCodec(config, time.Now()), zerolog.Nop())
+	queue = New(Config{Channel: config.Channel, Encoder: wire.NewCodec(config, time.Now())})
 	var events []assign.Event
 	var attachments []assign.Order
 	for i := range proxies {
--- a/internal/orderqueue/harness_test.go
+++ b/internal/orderqueue/harness_test.go
@@ -5,8 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"madderhollow/assign"
 	"madderhollow/internal/testconfig"
 	"madderhollow/internal/wire"
@@ -16,7 +14,7 @@
 func newTestQueue(messageLimit int) *Queue {
 	config := testconfig.New([]string{"a"}, 8, "read")
 	config.Channel = assign.ChannelConfig{MessageLimit: float64(messageLimit), MessageWindow: 3600, MeanTransit: 0.05}
-	return New(config.Channel, wire.NewCodec(config, time.Now()), zerolog.Nop())
+	return New(Config{Channel: config.Channel, Encoder: wire.NewCodec(config, time.Now())})
 }
 
 // connect reports proxies to the queue as connected.
--- a/internal/orderqueue/queue.go
+++ b/internal/orderqueue/queue.go
@@ -42,11 +42,19 @@
 	MaxOrderWait time.Duration // longest time between an order's submission and a call with it
 }
 
-// New returns an empty queue. The channel's times are in seconds; a message limit of 0 means no limit.
-func New(channel assign.ChannelConfig, encoder Encoder, log zerolog.Logger) *Queue {
+// Config describes a Queue.
+type Config struct {
+	Channel assign.ChannelConfig // its times are in seconds; a message limit of 0 means no limit
+	Encoder Encoder              // required
+	Log     zerolog.Logger       // New adds the component; default: no log
+}
+
+// New returns an empty queue.
+func New(config Config) *Queue {
+	channel := config.Channel
 	return &Queue{
-		encoder:   encoder,
-		log:       log.With().Str("component", "order_queue").Logger(),
+		encoder:   config.Encoder,
+		log:       config.Log.With().Str("component", "order_queue").Logger(),
 		wake:      make(chan struct{}, 1),
 		pending:   newPendingQueue(),
 		ambiguity: newAmbiguityBackoff(seconds(channel.MeanTransit)),
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -70,7 +70,7 @@
 	setup := &harness{
 		Relay:   relay,
 		address: handover.NewAddress(relay.Address()),
-		queue:   orderqueue.New(testChannel(), testCodec(), zerolog.Nop()),
+		queue:   orderqueue.New(orderqueue.Config{Channel: testChannel(), Encoder: testCodec()}),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	setup.shutdown = cancel
