--- a/internal/reportserver/connections_test.go
+++ b/internal/reportserver/connections_test.go
@@ -49,8 +49,12 @@
 		next(t, events)
 	}
 	// A ping that arrives while the eviction ends a blocked read is still read, and so answered. None is after that.
-	if first.Ping(timeout) == nil && first.Ping(timeout) == nil {
-		t.Error("first collector: got two pongs, want the connection closed")
+	pongs := 0
+	for pongs < 2 && first.Ping(timeout) == nil {
+		pongs++
+	}
+	if pongs > 1 {
+		t.Errorf("first collector: got %d pongs, want the connection closed after one at most", pongs)
 	}
 	if err := last.Ping(timeout); err != nil {
 		t.Errorf("last collector: got no pong: %v", err)
