--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -34,8 +34,9 @@
 	got := settings.Translate(map[string]any{
 		"discovery": "on_request",
 		"familyInfo": map[string]any{"admission": "ratio", "messagesMost": 20.0, "countedOverMs": 10000.0, "usualHow": 2.0,
+			"linesPerS": 4000.0, "worstTransitMs": 750.0,
 			"homeOnly": []any{true}},
-		"obligations": map[string]any{"coldMs": 15000.0, "droppedStayOpen": true},
+		"obligations": map[string]any{"coldMs": 15000.0, "drainGraceMs": 3500.0, "droppedStayOpen": true},
 		"classes":     []any{map[string]any{"name": "read", "onTimeMs": 250.0, "effect": "keyed"}, "odd"},
 	})
 	want := assign.DefaultConfig()
@@ -43,6 +44,9 @@
 	want.Admission = assign.AdmitByRatio
 	want.Channel.MessageLimit = 20
 	want.Channel.MessageWindow = 10
+	want.Channel.LinesPerSecond = 4000
+	want.Channel.MaxTransit = 0.75
+	want.DrainGrace = 3.5
 	want.Retries = 2
 	want.WarmUp.Duration = 15
 	want.RemovalIsAdvisory = true
