--- a/assign/assignment/changes.go
+++ b/assign/assignment/changes.go
@@ -21,8 +21,8 @@
 	Retries int
 }
 
-// LimitWorthSending reports whether the change from one limit to another is worth a message. More retries are, even where
-// the rate stays: retries are off until a message says otherwise.
+// LimitWorthSending reports whether the change from one limit to another is worth a message. More retries are, even
+// where the rate stays: retries are off until a message says otherwise.
 func LimitWorthSending(from, to Limit) bool {
 	return WorthSending(from.Rate, to.Rate) || to.Retries > from.Retries
 }
@@ -57,9 +57,9 @@
 	return change.To < change.From && (!change.Ready || change.Warming)
 }
 
-// EssentialEntry reports whether the change goes out even while the channel has no room for all urgent messages: an urgent
-// one, or a warm endpoint's entry that is new or rises. The latter takes load that would otherwise go to the others of the
-// table, warming ones among them.
+// EssentialEntry reports whether the change goes out even while the channel has no room for all urgent messages: an
+// urgent one, or a warm endpoint's entry that is new or rises. The latter takes load that would otherwise go to the
+// others of the table, warming ones among them.
 func EssentialEntry(change EntryChange) bool {
 	warmRises := change.To > change.From && change.Ready && !change.Warming
 	return warmRises || UrgentEntry(change)
--- a/assign/fleet_test.go
+++ b/assign/deployment_test.go
@@ -7,54 +7,54 @@
 	"testing"
 )
 
-// fleet is a large deployment without load: an assigner, its proxies, and the channel, which carries the lines of all
+// deploymentModel is a large deployment without load: an assigner, its proxies, and the channel, which carries the lines of all
 // messages one after another at a fixed pace. It records which entries each proxy holds.
-type fleet struct {
+type deploymentModel struct {
 	assigner   *Assigner
 	config     Config
 	now        float64 // s
 	freeAt     float64 // when the channel has carried all lines, s
-	inTransit  []fleetMessage
+	inTransit  []deploymentMessage
 	tables     map[int]map[string]float64 // weights above 0, by table and endpoint
 	former     map[int]map[string]float64 // those of another assigner's table, by proxy; until it has one of its own
 	endpoints  []Endpoint
 	drainingAt map[string]float64 // when the assigner was notified, s
 }
 
-// fleetMessage is a message to a proxy on its way.
-type fleetMessage struct {
+// deploymentMessage is a message to a proxy on its way.
+type deploymentMessage struct {
 	proxy, sequence int
 	orders          []Order
 	arrivesAt       float64 // s
 }
 
 const (
-	fleetGrace   = 4.0 // of a drain, s
-	fleetTransit = 0.3 // of a message that has left the channel, s
-	fleetStep    = 0.2 // between two batches, s
+	deploymentGrace   = 4.0 // of a drain, s
+	deploymentTransit = 0.3 // of a message that has left the channel, s
+	deploymentStep    = 0.2 // between two batches, s
 )
 
-// fleetProxyRate is the typical rate of each proxy, 1/s.
-const fleetProxyRate = 10.0
+// deploymentProxyRate is the typical rate of each proxy, 1/s.
+const deploymentProxyRate = 10.0
 
-// newFleet returns a fleet of which a number of proxies is connected and has tables of its own. Its channel carries eight
+// newDeploymentModel returns a deployment of which a number of proxies is connected and has tables of its own. Its channel carries eight
 // lines a second for each proxy, and its queue holds four seconds of that.
-func newFleet(proxies, connected, endpoints int) *fleet {
+func newDeploymentModel(proxies, connected, endpoints int) *deploymentModel {
 	config := modelConfig()
 	config.RequestClasses = config.RequestClasses[:2]
 	config.ProxyCount = float64(proxies)
-	config.DrainGrace = fleetGrace
+	config.DrainGrace = deploymentGrace
 	pace := 8 * float64(proxies)
 	config.Channel = ChannelConfig{QueueLimit: 4 * pace, LinesPerSecond: pace, MessageOverhead: 10, MessageLimit: 20,
-		MessageWindow: 10, MeanTransit: fleetTransit, MaxTransit: 2 * fleetTransit}
-	deployment := &fleet{assigner: New(1, config), config: config, now: modelStart, tables: map[int]map[string]float64{},
+		MessageWindow: 10, MeanTransit: deploymentTransit, MaxTransit: 2 * deploymentTransit}
+	deployment := &deploymentModel{assigner: New(1, config), config: config, now: modelStart, tables: map[int]map[string]float64{},
 		former: map[int]map[string]float64{}, drainingAt: map[string]float64{}}
 	for i := range endpoints {
 		deployment.endpoints = append(deployment.endpoints, Endpoint{Zone: zoneOf(i), Name: fmt.Sprint("t", i), Weight: 1})
 	}
 	events := []Event{EndpointUpdate{Full: true, Endpoints: slices.Clone(deployment.endpoints)}}
 	for i := range connected {
-		events = append(events, ProxyConnected{Proxy: i, Zone: zoneOf(i), TypicalRate: fleetProxyRate})
+		events = append(events, ProxyConnected{Proxy: i, Zone: zoneOf(i), TypicalRate: deploymentProxyRate})
 	}
 	deployment.batch(events...)
 	deployment.run(6, 0)
@@ -63,13 +63,13 @@
 
 // run lets seconds pass, in which the assigner has a report on each endpoint each second. One of lateEach endpoints, another
 // one each second, answers late: the weights change, which is ordinary traffic. 0: none does.
-func (f *fleet) run(seconds float64, lateEach int) {
-	for end := f.now + seconds; f.now < end-fleetStep/2; {
-		f.now += fleetStep
-		second := int(math.Round((f.now - modelStart) / fleetStep))
+func (m *deploymentModel) run(seconds float64, lateEach int) {
+	for end := m.now + seconds; m.now < end-deploymentStep/2; {
+		m.now += deploymentStep
+		second := int(math.Round((m.now - modelStart) / deploymentStep))
 		var events []Event
 		if second%5 == 0 {
-			for i, endpoint := range f.endpoints {
+			for i, endpoint := range m.endpoints {
 				report := EndpointLoadReport{Zone: endpoint.Zone, Endpoint: endpoint.Name, Interval: 1, MeanLatency: 0.1,
 					Attempts: 20, Load: []float64{0.5}}
 				if lateEach > 0 && (i+second/5)%lateEach == 0 {
@@ -78,49 +78,49 @@
 				events = append(events, report)
 			}
 		}
-		f.batch(events...)
+		m.batch(events...)
 	}
 }
 
 // batch passes events, after the acknowledgments of the messages that have arrived, and sends the orders.
-func (f *fleet) batch(events ...Event) {
+func (m *deploymentModel) batch(events ...Event) {
 	var arrived []Event
-	for len(f.inTransit) > 0 && f.inTransit[0].arrivesAt <= f.now {
-		message := f.inTransit[0]
-		f.inTransit = f.inTransit[1:]
+	for len(m.inTransit) > 0 && m.inTransit[0].arrivesAt <= m.now {
+		message := m.inTransit[0]
+		m.inTransit = m.inTransit[1:]
 		for _, order := range message.orders {
-			f.apply(order)
+			m.apply(order)
 		}
 		arrived = append(arrived, Acknowledged{Proxy: message.proxy, Sequence: message.sequence})
 	}
-	f.send(f.assigner.Handle(f.now, append(arrived, events...)))
+	m.send(m.assigner.Handle(m.now, append(arrived, events...)))
 }
 
 // apply applies an order at its proxy.
-func (f *fleet) apply(order Order) {
+func (m *deploymentModel) apply(order Order) {
 	switch order := order.(type) {
 	case ClearTable:
-		f.tables[order.Table] = map[string]float64{}
+		m.tables[order.Table] = map[string]float64{}
 	case SetWeight:
-		f.tables[order.Table][order.Endpoint] = order.Weight
+		m.tables[order.Table][order.Endpoint] = order.Weight
 		if order.Weight == 0 {
-			delete(f.tables[order.Table], order.Endpoint)
+			delete(m.tables[order.Table], order.Endpoint)
 		}
 	case AttachTable:
-		delete(f.former, order.Proxy)
+		delete(m.former, order.Proxy)
 	}
 }
 
 // send queues the orders of a batch in the channel, as one message for each proxy.
-func (f *fleet) send(orders []Order) {
+func (m *deploymentModel) send(orders []Order) {
 	sequence := 0
-	var messages []*fleetMessage
-	messageTo := func(table int) *fleetMessage {
-		proxy := table / len(f.assigner.groups)
+	var messages []*deploymentMessage
+	messageTo := func(table int) *deploymentMessage {
+		proxy := table / len(m.assigner.groups)
 		if n := len(messages); n > 0 && messages[n-1].proxy == proxy {
 			return messages[n-1]
 		}
-		messages = append(messages, &fleetMessage{proxy: proxy})
+		messages = append(messages, &deploymentMessage{proxy: proxy})
 		return messages[len(messages)-1]
 	}
 	for _, order := range orders {
@@ -144,32 +144,32 @@
 	}
 	for _, message := range messages {
 		message.sequence = sequence
-		lines := float64(len(message.orders)+1) + f.config.Channel.MessageOverhead
-		f.freeAt = math.Max(f.freeAt, f.now) + lines/f.config.Channel.LinesPerSecond
-		message.arrivesAt = f.freeAt + fleetTransit
-		f.inTransit = append(f.inTransit, *message)
+		lines := float64(len(message.orders)+1) + m.config.Channel.MessageOverhead
+		m.freeAt = math.Max(m.freeAt, m.now) + lines/m.config.Channel.LinesPerSecond
+		message.arrivesAt = m.freeAt + deploymentTransit
+		m.inTransit = append(m.inTransit, *message)
 	}
 }
 
 // drain notifies the assigner that some endpoints drain, and that as many others start.
-func (f *fleet) drain(first, count int) {
+func (m *deploymentModel) drain(first, count int) {
 	var entries []Endpoint
 	for i := first; i < first+count; i++ {
-		f.endpoints[i].State = Draining
-		f.drainingAt[f.endpoints[i].Name] = f.now
-		started := Endpoint{Zone: f.endpoints[i].Zone, Name: "new-" + f.endpoints[i].Name, Weight: 1, StartedAt: f.now}
-		f.endpoints = append(f.endpoints, started)
-		entries = append(entries, f.endpoints[i], started)
+		m.endpoints[i].State = Draining
+		m.drainingAt[m.endpoints[i].Name] = m.now
+		started := Endpoint{Zone: m.endpoints[i].Zone, Name: "new-" + m.endpoints[i].Name, Weight: 1, StartedAt: m.now}
+		m.endpoints = append(m.endpoints, started)
+		entries = append(entries, m.endpoints[i], started)
 	}
-	f.batch(EndpointUpdate{Endpoints: entries})
+	m.batch(EndpointUpdate{Endpoints: entries})
 }
 
 // latestDrain returns the table entry that has outlived its endpoint's drain the longest, and by how long after the notice.
-func (f *fleet) latestDrain() (description string, age float64) {
-	for table, entries := range f.tables {
+func (m *deploymentModel) latestDrain() (description string, age float64) {
+	for table, entries := range m.tables {
 		for endpoint := range entries {
-			if at, draining := f.drainingAt[endpoint]; draining && f.now-at > age {
-				age = f.now - at
+			if at, draining := m.drainingAt[endpoint]; draining && m.now-at > age {
+				age = m.now - at
 				description = fmt.Sprintf("table %d holds %s", table, endpoint)
 			}
 		}
@@ -183,17 +183,17 @@
 	for _, test := range []struct{ proxies, endpoints int }{{10, 42}, {100, 98}, {480, 98}, {2400, 42}} {
 		t.Run(fmt.Sprint(test.proxies, " proxies"), func(t *testing.T) {
 			t.Parallel()
-			deployment := newFleet(test.proxies, test.proxies, test.endpoints)
+			deployment := newDeploymentModel(test.proxies, test.proxies, test.endpoints)
 			deployment.run(4, 3)
 			wave := test.endpoints / 7
 			for i := range 3 {
 				deployment.drain(i*wave, wave)
 				deployment.run(1.2, 3)
 			}
-			for range int(fleetGrace / fleetStep) {
-				deployment.run(fleetStep, 3)
-				if entry, age := deployment.latestDrain(); age > fleetGrace+fleetStep/2 {
-					t.Fatalf("got %s %.1f s after the notice of its drain, want at most %g s", entry, age, fleetGrace)
+			for range int(deploymentGrace / deploymentStep) {
+				deployment.run(deploymentStep, 3)
+				if entry, age := deployment.latestDrain(); age > deploymentGrace+deploymentStep/2 {
+					t.Fatalf("got %s %.1f s after the notice of its drain, want at most %g s", entry, age, deploymentGrace)
 				}
 				for table, entries := range deployment.tables {
 					if len(entries) == 0 {
--- a/assign/ordering/ordering.go
+++ b/assign/ordering/ordering.go
@@ -29,16 +29,16 @@
 }
 
 const (
-	// queuedPart is the part of the time left for urgent orders that the queue may take. A message in the queue cannot be
-	// overtaken, so that the other part is left for those that become due while it is full.
+	// queuedPart is the part of the time left for urgent orders that the queue may take. A message in the queue cannot
+	// be overtaken, so that the other part is left for those that become due while it is full.
 	queuedPart = 0.5
 	// minQueueTime is the least time that the queue may take, s: acknowledgments arrive later than messages leave, and
 	// meanwhile the channel has to be kept busy.
 	minQueueTime = 1.0
 )
 
-// Limit returns the number of lines that the assigner queues at most: the platform's limit, or what the channel carries in a
-// part of the time within which urgent orders have to be in force, if that is less.
+// Limit returns the number of lines that the assigner queues at most: the platform's limit, or what the channel carries
+// in a part of the time within which urgent orders have to be in force, if that is less.
 func (c Channel) Limit() float64 {
 	if c.LinesPerSecond == 0 || c.UrgentGrace == 0 {
 		return c.QueueLimit
--- a/assign/subset/plan.go
+++ b/assign/subset/plan.go
@@ -49,7 +49,7 @@
 	candidates        []*Candidate[E]
 	byEndpoint        map[E]*Candidate[E]
 	remoteCandidates  int     // number of those in other zones
-	remoteFraction    float64 // of a table's entries and of its weight; 1 if there are no local candidates, else below 1
+	remoteFraction    float64 // of a table's entries and weight; below 1 if there are local candidates
 	remainingCapacity float64 // weight of all usable endpoints, as a fraction of the deployment's peak in all zones
 	maxWeight         float64 // the most that a table carries
 }
@@ -58,8 +58,8 @@
 // it, the zone is returning after a loss, and the mean stands for its usual weight.
 const wholeZoneFraction = 0.5
 
-// maxRemoteFraction leaves the zone's own candidates a part of each table, however light they are. The weights of remote
-// entries are scaled by the fraction over its difference to 1.
+// maxRemoteFraction leaves the zone's own candidates a part of each table, however light they are. The weights of
+// remote entries are scaled by the fraction over its difference to 1.
 const maxRemoteFraction = 1 - numeric.MinDivisor
 
 // NewPlan returns the plan for the candidates that the request classes may use, in a fixed order. It modifies them.
@@ -121,10 +121,10 @@
 	return found
 }
 
-// demand returns the weight that the zone's proxies need: what they usually have, less what the zones that their classes
-// may use have lost; in an overloaded zone at least what its traffic takes. Where warming endpoints are in use the loss does not count,
-// because warm endpoints have to carry the load next to them, however unhealthy. It assumes that proxies which do not
-// report here bring as much as those that do, and that zones have equally many.
+// demand returns the weight that the zone's proxies need: what they usually have, less what the zones that their
+// classes may use have lost; in an overloaded zone at least what its traffic takes. Where warming endpoints are in use
+// the loss does not count, because warm endpoints have to carry the load next to them, however unhealthy. It assumes
+// that proxies which do not report here bring as much as those that do, and that zones have equally many.
 func (plan *Plan[E]) demand(zone Zone, deployment Deployment, found supply, usualWeight float64) float64 {
 	demand := usualWeight
 	if !found.warming {
--- a/assign/subset/table.go
+++ b/assign/subset/table.go
@@ -95,8 +95,8 @@
 	return Table[E]{Entries: table.entries, Warming: true, WarmingCapacity: capacity}
 }
 
-// remoteSize returns how many entries of a table of a size are for remote candidates: the plan's fraction, as far as there
-// are that many. One entry is kept for the zone's own, also where it has none.
+// remoteSize returns how many entries of a table of a size are for remote candidates: the plan's fraction, as far as
+// there are that many. One entry is kept for the zone's own, also where it has none.
 func (plan *Plan[E]) remoteSize(size int) int {
 	wanted := int(math.Round(plan.remoteFraction * float64(size)))
 	return min(wanted, size-1, plan.remoteCandidates)
