--- a/assign/deployment_test.go
+++ b/assign/deployment_test.go
@@ -37,8 +37,8 @@
 // deploymentProxyRate is the typical rate of each proxy, 1/s.
 const deploymentProxyRate = 10.0
 
-// newDeploymentModel returns a deployment of which a number of proxies is connected and has tables of its own. Its channel carries eight
-// lines a second for each proxy, and its queue holds four seconds of that.
+// newDeploymentModel returns a deployment of which a number of proxies is connected and has tables of its own. Its channel
+// carries eight lines a second for each proxy, and its queue holds four seconds of that.
 func newDeploymentModel(proxies, connected, endpoints int) *deploymentModel {
 	config := modelConfig()
 	config.RequestClasses = config.RequestClasses[:2]
