--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,7 +28,7 @@
 	trouble := flag.Bool("trouble", true, "whether the disruption happens")
 	seed := flag.Int64("seed", 1, "seed of the stand-ins")
 	flag.Parse()
-	cases := map[string]func(*run) int{"news": newsCase, "spoilt": spoiltCase}
+	cases := map[string]func(*run) int{"news": newsCase, "spoilt": spoiltCase, "hall": hallCase}
 	if cases[*name] == nil {
 		fail(fmt.Errorf("no case %q", *name))
 	}
