Start test: write the configuration once for each time that it is read

TestStartWhileConfigurationIncomplete failed once in a whole test run, and on 9 of 200 runs, eight at a time: no assigner listened within 10 s. A trace of the process (rchar of /proc/PID/io, 20 to 40 MB/s; memory bounded) shows that it reads the named pipe all the time: the test's goroutine opens the pipe again while the program still has it open, so that the program reads two or more copies in a row, which are no valid file, and tries again, as it should.

The goroutine now waits until no reader has the pipe open before it writes the next copy. What is asserted is unchanged. 200 of 200 runs passed, eight at a time. This can be one cause of 'a started process that logs nothing' in the open issue; it does not explain those seen with other tests.

--- a/cmd/madderhollow/start_test.go
+++ b/cmd/madderhollow/start_test.go
@@ -43,6 +43,15 @@
 	return pipe, nil
 }
 
+// hasReader reports whether a process has the named pipe at path open for reading.
+func hasReader(path string) bool {
+	pipe, err := os.OpenFile(path, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+	if errors.Is(err, syscall.ENXIO) {
+		return false
+	}
+	return err != nil || pipe.Close() == nil
+}
+
 // The previous process may still occupy the addresses when a new process starts. The new process must retry until it
 // has bound its addresses instead of exiting. It must serve collectors and proxies as soon as the listener is bound,
 // and must not wait for the status page and the peer socket.
@@ -98,7 +107,8 @@
 	var stopWriter atomic.Bool
 	// The program may read the complete text as a continuation of the first half. The combined text is invalid as
 	// well, so the program reads the pipe again. The goroutine therefore writes the complete text until the test sets
-	// stopWriter.
+	// stopWriter. It writes the text once for each time that the program opens the pipe: several copies in a row would be
+	// invalid, too.
 	go func() { // the goroutine ends after the test has set stopWriter and opened the pipe for reading
 		var err error
 		for !stopWriter.Load() && err == nil {
@@ -106,6 +116,7 @@
 			if pipe, err = writeConfigPipe(path, completeText); err == nil {
 				err = pipe.Close()
 			}
+			eventually.True(testTimeout, func() bool { return stopWriter.Load() || !hasReader(path) })
 		}
 		writerResult <- err
 	}()
