Counters for lines in flight, waiting proxies, default tables and observed rate

Nothing told whether an order that did not go out was not wanted, held back by the decision module, or pending in the order queue. assign.Assigner.Stats reads the records once a second; the status page and the line 'ended' show default_table_proxies, observed_rate, lines_in_flight, oldest_in_flight_ms and waiting_proxies.

--- a/assign/proxy.go
+++ b/assign/proxy.go
@@ -24,6 +24,7 @@
 type inFlightMessage struct {
 	sequence int     // sequence number of the acknowledgment request for the message
 	lines    float64 // number of lines that the message occupies in the order channel
+	sentAt   float64 // time at which the message was sent, in seconds
 }
 
 // urgentWait records how long urgent orders for a proxy have been waiting to be sent. Orders are urgent if one of the
--- a/assign/scheduler.go
+++ b/assign/scheduler.go
@@ -97,7 +97,7 @@
 		sent = true
 		unacknowledgedLines += message.attributes.Lines
 		assigner.emit(message.orders...)
-		assigner.enqueue(ordersSent{message.proxy, message.orders, inFlightMessage{sequence, message.attributes.Lines}})
+		assigner.enqueue(ordersSent{message.proxy, message.orders, inFlightMessage{sequence, message.attributes.Lines, assigner.now}})
 	}
 	if sent {
 		s.lastSequence = sequence
--- a/cmd/madderhollow/counters_test.go
+++ b/cmd/madderhollow/counters_test.go
@@ -14,7 +14,8 @@
 // them.
 func TestCountersEqualInLogAndJSON(t *testing.T) {
 	values := counters{Batches: 1, Calls: 2, CallsRepeated: 3, Events: 4, Goroutines: 5, HeapKB: 6, MalformedLines: 7, MaxOrderWaitMs: 8,
-		OrdersCoalesced: 9, OrdersWaiting: 10, Proxies: 11, Reports: 12, ReportsLost: 13, UnidentifiedConnectionsClosed: 14}
+		OrdersCoalesced: 9, OrdersWaiting: 10, Proxies: 11, Reports: 12, ReportsLost: 13, UnidentifiedConnectionsClosed: 14,
+		DefaultTableProxies: 15, LinesInFlight: 16, ObservedRate: 17, OldestInFlightMs: 18, WaitingProxies: 19}
 	statusPage, err := json.Marshal(values)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -21,6 +21,9 @@
 // startedAt.
 func ClockZero(startedAt time.Time) time.Time { return startedAt.Add(-secondsToDuration(ClockStart)) }
 
+// statsInterval is the minimum time between two readings of the decision module's statistics, in seconds.
+const statsInterval = 1.0
+
 // maxIdleWait is the longest time that the loop waits for events while no timer is set.
 const maxIdleWait = time.Hour
 
@@ -73,6 +76,8 @@
 	timers           timerQueue
 	batchCount       atomic.Int64
 	eventCount       atomic.Int64
+	decisionStats    atomic.Pointer[assign.Stats] // nil before the first batch
+	nextStatsAt      float64                      // time at which decisionStats is next updated, in seconds
 }
 
 // New returns a loop with a new assign.Assigner. The loop handles no events until Run is called.
@@ -92,11 +97,17 @@
 type Stats struct {
 	Batches int // number of batches handled, including the batch in progress
 	Events  int // number of events in these batches, including fired timers
+	// Decision is the state of the decision module. It is read after a batch, at most once per statsInterval.
+	Decision assign.Stats
 }
 
 // Stats returns the current counters. It is safe for concurrent use.
 func (l *Loop) Stats() Stats {
-	return Stats{Batches: int(l.batchCount.Load()), Events: int(l.eventCount.Load())}
+	stats := Stats{Batches: int(l.batchCount.Load()), Events: int(l.eventCount.Load())}
+	if decision := l.decisionStats.Load(); decision != nil {
+		stats.Decision = *decision
+	}
+	return stats
 }
 
 // now returns the current time on the clock of the decision module, in seconds.
@@ -198,6 +209,17 @@
 	if len(proxyOrders) > 0 {
 		l.outputs.SubmitOrders(proxyOrders)
 	}
+	l.updateDecisionStats(now)
+}
+
+// updateDecisionStats reads the statistics of the decision module if statsInterval has passed since the last reading.
+func (l *Loop) updateDecisionStats(now float64) {
+	if now < l.nextStatsAt {
+		return
+	}
+	l.nextStatsAt = now + statsInterval
+	stats := l.assigner.Stats()
+	l.decisionStats.Store(&stats)
 }
 
 // executeLocalOrder executes an order that does not go to proxies. It returns false, without executing the order, if
