Traffic reports: an interval close to 0 no longer makes rates infinite

Cause: the rate of a report was computed by itself, requests over interval, and was +Inf; smoothed it stays in the proxy's class rate, then NaN in the sum of all rates, in every zone's fraction of the traffic and in the number of remote entries of a table. Evidence: malformed_lines and the log show that three of the four spoilt lines are skipped and the fourth is not; the capacity in the stack is ten less the smallest integer, as NaN converts.

Invariant that now holds: a traffic report adds at most its own requests to an observed rate, whatever its interval, so that rates are finite. The codec rejects intervals below a microsecond, the clocks' resolution, so that such lines are counted and named in the log.

TestTrafficReportOfMinuteIntervalKeepsRatesFinite and two cases of the codec's test failed before (the first with the panic of the case), TestSmoothRate and TestSmoothRateIsBounded are new.

--- a/assign/proxy.go
+++ b/assign/proxy.go
@@ -195,7 +195,7 @@
 	for _, class := range assigner.classes {
 		if class.Name == report.RequestClass && report.Interval > 0 {
 			rate := &p.classRates[class.index]
-			*rate = quota.SmoothRate(*rate, float64(report.Requests)/report.Interval, report.Interval)
+			*rate = quota.SmoothRate(*rate, float64(report.Requests), report.Interval)
 			p.lastReportAt = assigner.now
 		}
 	}
--- a/assign/quota/quota_test.go
+++ b/assign/quota/quota_test.go
@@ -128,3 +128,39 @@
 	}
 	return split, members
 }
+
+func TestSmoothRate(t *testing.T) {
+	for _, test := range []struct {
+		name                         string
+		previous, requests, interval float64 // rate before the report (1/s), number of requests, reported interval (s)
+		want                         float64 // rate after the report (1/s)
+	}{
+		{"one tick interval: the reported rate", 8, 20, 1, 20},
+		{"longer: the reported rate", 8, 20, 4, 5},
+		{"half a tick interval: half of the reported rate", 8, 20, 0.5, 24},
+		{"shortest interval: the requests are added", 8, 20, math.SmallestNonzeroFloat64, 28},
+		{"no requests", 8, 0, 0.25, 6},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := quota.SmoothRate(test.previous, test.requests, test.interval); got != test.want {
+				t.Errorf("got %g/s, want %g/s", got, test.want)
+			}
+		})
+	}
+}
+
+// TestSmoothRateIsBounded checks, for reports of any interval, that the smoothed rate is not negative and at most the
+// previous rate plus the requests of one tick interval, which is 1 s.
+func TestSmoothRateIsBounded(t *testing.T) {
+	quickcheck.CheckSeeds(t, 2000, func(seed int64) bool {
+		random := rand.New(rand.NewSource(seed))
+		previous, requests := 1e9*quickcheck.Fraction(random), math.Floor(1e9*quickcheck.Fraction(random))
+		interval := math.Max(quickcheck.LogUniform(random, 1e-300, 1e9)*quickcheck.LogUniform(random, 1e-20, 1), math.SmallestNonzeroFloat64)
+		got, highest := quota.SmoothRate(previous, requests, interval), previous+requests
+		if !(got >= 0 && got <= highest) {
+			t.Errorf("seed %d, interval %g s: got %g/s after %g/s and %g requests, want 0 to %g/s", seed, interval, got, previous, requests, highest)
+			return false
+		}
+		return true
+	})
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -26,6 +26,8 @@
 	// maxFieldValue is the largest value accepted in a numeric field. A larger value indicates a defective counter, and
 	// sums of such values lose precision.
 	maxFieldValue = 1e9
+	// minReportInterval is the shortest report interval accepted, in ms. It is the resolution of the platform's clocks.
+	minReportInterval = 0.001
 	// maxUnixMilliseconds is the latest start time accepted for an endpoint, a Unix time in milliseconds. It is in the
 	// year 5138, well within the range of time.Duration.
 	maxUnixMilliseconds = 1e14
--- a/internal/wire/reports.go
+++ b/internal/wire/reports.go
@@ -79,8 +79,9 @@
 	requests := validator.Count(requestsField, "requests or attempts", fields.Requests, maxFieldValue)
 	failed := validator.Count(failedField, "failed requests or attempts", fields.Failed, maxFieldValue)
 	interval := validator.Number(reportIntervalField, "report interval in ms", fields.Interval, c.maxInterval)
-	if interval == 0 {
-		validator.RecordError(&fieldcheck.Error{Field: reportIntervalField, Value: "0", Want: "report interval in ms: more than 0"})
+	if interval < minReportInterval {
+		validator.RecordError(&fieldcheck.Error{Field: reportIntervalField, Value: fmt.Sprint(interval),
+			Want: fmt.Sprintf("report interval in ms: at least %g", minReportInterval)})
 	}
 	return commonReportFields{requests, failed, interval / millisecondsPerSecond}
 }
--- a/internal/wire/reports_test.go
+++ b/internal/wire/reports_test.go
@@ -66,6 +66,8 @@
 		{input: `{"@type":"heard","locality":"a","endpoint":"s","total":1,"errors":0,"rtt":NaN,"interval":500}`},
 		{input: `{"@type":"heard","locality":"a","endpoint":"s","total":1,"errors":0,"rtt":1e99,"interval":500}`, wantField: "rtt"},
 		{input: `{"@type":"heard","locality":"a","endpoint":"s","total":1,"errors":0,"rtt":1,"interval":0}`, wantField: "interval"},
+		{input: `{"@type":"heard","locality":"a","endpoint":"s","total":1,"errors":0,"rtt":1,"interval":0.0009}`, wantField: "interval"},
+		{input: `{"@type":"usage","node":1,"route":"sign","total":9,"errors":1,"interval":1e-310}`, wantField: "interval"},
 		{input: `{"@type":"heard","locality":"a","endpoint":"","total":1,"errors":0,"rtt":1,"interval":500}`, wantError: ErrNoEndpointName},
 		{input: `{"@type":"heard","locality":"a","endpoint":"s","total":1,"errors":0,"interval":500}`, wantField: "rtt"},
 		{input: `{"@type":"heard","locality":"a","endpoint":"s","total":1,"errors":0,"rtt":99000,"interval":500}`, wantField: "rtt"},
