In-time fraction: compare the latency with the late threshold before dividing

Callers would see no rate limits in an overload where the settings state a latency objective close to 0: the late threshold is 0, as is the latency of an endpoint without answers, and 0/0 made the total rate NaN.

Invariant: outlier.InTimeFraction divides only by a latency above the threshold, hence above 0. All other results are the same.

The case of TestAnswersWithoutObjectiveAreNeverLate is new.

--- a/assign/any_input_test.go
+++ b/assign/any_input_test.go
@@ -15,6 +15,8 @@
 type randomInput struct {
 	random *rand.Rand
 	config Config
+	// Whether numbers above 0 are replaced by numbers close to 0 at random; see minute.
+	minuteNumbers bool
 }
 
 // newRandomInput returns the randomInput of a seed with a random configuration.
@@ -58,6 +60,23 @@
 	return quickcheck.LogUniform(in.random, lowest, highest)
 }
 
+// minute returns the value, or, if minuteNumbers is set and the value is above 0, a number close to 0 in its place at
+// random.
+func (in *randomInput) minute(value float64) float64 {
+	if !in.minuteNumbers || value == 0 || in.random.Intn(3) > 0 {
+		return value
+	}
+	return in.pickOne(math.SmallestNonzeroFloat64, 1e-320, 1e-310, 1e-300, 1e-200, 1e-12)
+}
+
+// startTime returns the start time, or, if minuteNumbers is set, a time in the future in its place at random.
+func (in *randomInput) startTime(startedAt, now float64) float64 {
+	if !in.minuteNumbers || in.random.Intn(3) > 0 {
+		return startedAt
+	}
+	return now + in.pickOne(1e-9, 1, 1e6)
+}
+
 func (in *randomInput) randomZone() string { return zoneByNumber(in.random.Intn(3)) }
 
 // randomEvents returns random events for one batch. The parameter now is the time of the batch in seconds. Some of the
@@ -70,13 +89,13 @@
 			events = append(events, in.randomEndpointUpdate(now))
 		case 1:
 			events = append(events, ProxyConnected{Proxy: proxy, Zone: in.randomZone(),
-				TypicalRate: in.pickOne(0, 1, 100, 1e6), DefaultTablesOnly: in.random.Intn(2) == 0})
+				TypicalRate: in.minute(in.pickOne(0, 1, 100, 1e6)), DefaultTablesOnly: in.random.Intn(2) == 0})
 		case 2, 3, 4:
 			events = append(events, in.randomLoadReport())
 		case 5:
 			class := in.config.RequestClasses[in.random.Intn(len(in.config.RequestClasses))].Name
 			events = append(events, ProxyTrafficReport{Proxy: proxy, RequestClass: class,
-				Interval: in.randomMagnitude(1e-3, 1e3), Requests: int(in.randomMagnitude(1, 1e9)) - 1})
+				Interval: in.minute(in.randomMagnitude(1e-3, 1e3)), Requests: int(in.randomMagnitude(1, 1e9)) - 1})
 		case 6:
 			events = append(events, Acknowledged{Proxy: proxy, Sequence: in.random.Intn(40)})
 		case 7:
@@ -93,9 +112,9 @@
 		update.Endpoints = append(update.Endpoints, Endpoint{
 			Zone:      in.randomZone(),
 			Name:      fmt.Sprint("endpoint", in.random.Intn(15)),
-			Weight:    in.pickOne(0, 1, 2, 1e-3, 1e3),
+			Weight:    in.minute(in.pickOne(0, 1, 2, 1e-3, 1e3)),
 			State:     EndpointState(max(0, in.random.Intn(5)-2)),
-			StartedAt: in.pickOne(0, now, now-2, now-20),
+			StartedAt: in.startTime(in.pickOne(0, now, now-2, now-20), now),
 		})
 	}
 	return update
@@ -110,10 +129,10 @@
 		Interval: 1,
 		Attempts: attempts,
 		Failed:   int(float64(attempts) * quickcheck.Fraction(in.random)),
-		Load:     []float64{in.pickOne(0, 1, 1e9), in.pickOne(0, 0.3, 0.9, 1, 100)},
+		Load:     []float64{in.pickOne(0, 1, 1e9), in.minute(in.pickOne(0, 0.3, 0.9, 1, 100))},
 	}
 	if report.Attempts > report.Failed {
-		report.MeanLatency = in.randomMagnitude(1e-6, 1e6)
+		report.MeanLatency = in.minute(in.randomMagnitude(1e-6, 1e6))
 	}
 	return report
 }
@@ -159,8 +178,33 @@
 // every zone has a name, whatever input arrives within the documented bounds. In the runs with an even seed, the
 // first batch only starts the clock, so that all zones are created between two ticks.
 func TestOrdersAreFiniteForRandomInput(t *testing.T) {
+	checkRandomInput(t, newRandomInput)
+}
+
+// TestOrdersAreFiniteForMinuteNumbers guards against the crash after a traffic report with an interval of 1e-313 s: the
+// rate computed from it was infinite. It replaces numbers of the random input that are above 0 by numbers close to 0,
+// down to the smallest one that a float64 represents, and some start times by times in the future.
+func TestOrdersAreFiniteForMinuteNumbers(t *testing.T) {
+	checkRandomInput(t, func(seed int64) *randomInput {
+		input := newRandomInput(seed)
+		input.minuteNumbers = true
+		for i := range input.config.RequestClasses {
+			input.config.RequestClasses[i].LatencyObjective = input.minute(input.config.RequestClasses[i].LatencyObjective)
+		}
+		warmUp := &input.config.WarmUp
+		warmUp.InitialCapacityFraction = input.minute(warmUp.InitialCapacityFraction)
+		warmUp.Duration = input.minute(warmUp.Duration)
+		warmUp.OverloadWindow = min(input.minute(warmUp.OverloadWindow), warmUp.Duration)
+		warmUp.OverloadMultiple = input.minute(warmUp.OverloadMultiple)
+		return input
+	})
+}
+
+// checkRandomInput plays the random input of 150 seeds, which newInput creates, and checks every order and every quota.
+func checkRandomInput(t *testing.T, newInput func(seed int64) *randomInput) {
+	t.Helper()
 	quickcheck.CheckSeeds(t, 150, func(seed int64) bool {
-		input, now := newRandomInput(seed), 1000.0
+		input, now := newInput(seed), 1000.0
 		assigner := New(seed, input.config)
 		var endpoints []Endpoint
 		for i, zone := range input.config.Zones {
--- a/assign/outlier/latency.go
+++ b/assign/outlier/latency.go
@@ -53,5 +53,8 @@
 // from MinInTimeFraction to 1. The parameter meanLatency is the mean latency of the successful attempts. The parameter
 // lateThreshold is the mean latency above which answers count as late. Both parameters are in seconds.
 func InTimeFraction(meanLatency, lateThreshold float64) float64 {
-	return math.Min(1, math.Max(MinInTimeFraction, lateThreshold/meanLatency))
+	if meanLatency <= lateThreshold { // true if both are 0, so that the divisor below is above 0
+		return 1
+	}
+	return math.Max(MinInTimeFraction, lateThreshold/meanLatency)
 }
--- a/assign/outlier/outlier_test.go
+++ b/assign/outlier/outlier_test.go
@@ -247,6 +247,9 @@
 // of them count as answered in time.
 func TestAnswersWithoutObjectiveAreNeverLate(t *testing.T) {
 	threshold := outlier.LateThreshold(0)
+	if got := outlier.InTimeFraction(0, 0); got != 1 {
+		t.Errorf("no answers, late threshold too small for a float64: got in-time fraction %g, want 1", got)
+	}
 	for name, meanLatency := range map[string]float64{"no answers": 0, "answers": 0.2} {
 		t.Run(name, func(t *testing.T) {
 			if got := outlier.InTimeFraction(meanLatency, threshold); got != 1 {
