Listed weights close to 0 count as the least divisor

Invariant: a listed weight in a record can be divided by. It is kept in assign.listedWeight, which every listing passes; the key of ties had the same bound already.

--- a/assign/endpoint.go
+++ b/assign/endpoint.go
@@ -1,11 +1,11 @@
 package assign
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
 	"madderhollow/assign/membership"
+	"madderhollow/assign/numeric"
 	"madderhollow/assign/outlier"
 	"madderhollow/assign/overload"
 	"madderhollow/assign/slowstart"
@@ -125,8 +125,14 @@
 	}
 }
 
-// listedWeight returns the weight of an entry of the endpoint list. An entry without a weight above 0 weighs 1.
-func listedWeight(entry Endpoint) float64 { return cmp.Or(math.Max(entry.Weight, 0), 1) }
+// listedWeight returns the weight of an entry of the endpoint list. An entry without a weight above 0 weighs 1. Rules
+// divide by sums of weights, so the result is at least numeric.MinDivisor.
+func listedWeight(entry Endpoint) float64 {
+	if entry.Weight <= 0 {
+		return 1
+	}
+	return math.Max(entry.Weight, numeric.MinDivisor)
+}
 
 // deleteExpiredEndpoints deletes the records of endpoints that were removed long ago (see membership.RecordExpired).
 // Default tables may still hold such an endpoint, so every default table has to be replaced after the first deletion.
--- a/assign/endpoint_test.go
+++ b/assign/endpoint_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
+	"strings"
 	"testing"
 
 	"madderhollow/assign/membership"
@@ -104,3 +107,45 @@
 		t.Errorf("got %d records and a table attached to proxy 2: %v, want 12 records and true", len(assigner.endpointList), attached)
 	}
 }
+
+// TestMinuteListedWeightsGiveFiniteEntries guards against entries of infinite weight, which are never sent. An
+// overloaded zone spills over to a zone whose endpoints have listed weights close to 0.
+func TestMinuteListedWeightsGiveFiniteEntries(t *testing.T) {
+	for _, weight := range []float64{math.SmallestNonzeroFloat64, 1e-310, 1e-300, 1e-12} {
+		orders := ordersOfSpillover(weight)
+		for _, order := range orders {
+			if violation := orderViolation(order); violation != "" {
+				t.Errorf("listed weight %g: got %+v, %s", weight, order, violation)
+			}
+		}
+		remoteEntry := func(order Order) bool {
+			entry, ok := order.(SetWeight)
+			return ok && strings.HasPrefix(entry.Endpoint, "remote")
+		}
+		if !slices.ContainsFunc(orders, remoteEntry) {
+			t.Errorf("listed weight %g: got no entry of the other zone, want at least one", weight)
+		}
+	}
+}
+
+// ordersOfSpillover returns the orders of ten seconds in which zone x is overloaded. Zone y has endpoints of the given
+// listed weight, whose names begin with "remote".
+func ordersOfSpillover(remoteWeight float64) (orders []Order) {
+	assigner := New(1, modelConfig())
+	localEndpoints, remoteEndpoints := newEndpoints("local", 4), newEndpoints("remote", 4)
+	for i := range remoteEndpoints {
+		remoteEndpoints[i].Zone, remoteEndpoints[i].Weight = "y", remoteWeight
+	}
+	events := []Event{EndpointUpdate{Full: true, Endpoints: append(remoteEndpoints, localEndpoints...)},
+		ProxyConnected{Proxy: 0, Zone: "x", TypicalRate: 10}}
+	for batch := range 10 {
+		batchOrders := assigner.Handle(1000+float64(batch), events)
+		orders = append(orders, batchOrders...)
+		events = acknowledgmentsFor(assigner, batchOrders)
+		for _, e := range localEndpoints {
+			events = append(events, EndpointLoadReport{Zone: "x", Endpoint: e.Name, Interval: 1, Attempts: 9, MeanLatency: 0.1,
+				Load: []float64{0.9}})
+		}
+	}
+	return orders
+}
