In-flight window: lost acknowledgments no longer occupy the channel for good

Cause: a message counts as in flight until its proxy acknowledges it or disconnects. Each resync orders the tables of all proxies again; two fill nine tenths of the limit, their acknowledgments are lost with the events, and from then on no message fits, so nothing is ever acknowledged. Evidence, counters at the end of the case: waiting_proxies 36, lines_in_flight 1,249 of 1,260, oldest_in_flight_ms 36,915, orders_waiting 0, calls 5: the module holds the orders back, the order queue and the relay do not.

Change: the channel carries messages in order, so an acknowledgment proves that all earlier messages have left its queue; after one longest transit their lines no longer count (ordering.CarriedMessages). If nothing fits for the time in which everything in flight should have been acknowledged, one message goes out as a probe, at doubling intervals (ordering.ProbeTimer).

Invariants that now hold: a message stops counting at most one transit after the acknowledgment of any later one (orderScheduler.linesInFlight); while messages wait, one is sent at least every probe interval (orderScheduler.admits). Room is freed by proof, never by time, so the queue limit holds.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -118,6 +118,7 @@
 	case ProxyConnected:
 		proxy := a.getOrCreateProxy(event.Proxy)
 		a.enqueue(proxyConnected{proxy, event})
+		a.enqueue(connectionOpened{})
 		a.enqueue(tablesOutdated{proxy})
 	case ProxyTrafficReport:
 		if proxy := a.findProxy(event.Proxy); proxy != nil {
--- a/assign/mailbox.go
+++ b/assign/mailbox.go
@@ -86,13 +86,13 @@
 	proxySilent struct{ proxy *proxy }
 )
 
-func (m proxyConnected) handle(assigner *Assigner)  { m.proxy.connect(assigner, m.event) }
-func (m proxyDisconnected) handle(*Assigner)        { m.proxy.disconnect() }
-func (m trafficReported) handle(assigner *Assigner) { m.proxy.recordTrafficReport(assigner, m.report) }
-func (m messageAcknowledged) handle(*Assigner)      { m.proxy.acknowledge(m.sequence) }
-func (m quotaAssigned) handle(*Assigner)            { m.proxy.assignQuota(m.quota, m.rateLimit) }
-func (m ordersSent) handle(assigner *Assigner)      { m.proxy.recordSent(assigner, m.orders, m.message) }
-func (m proxySilent) handle(assigner *Assigner)     { m.proxy.leaveSplit(assigner) }
+func (m proxyConnected) handle(assigner *Assigner)      { m.proxy.connect(assigner, m.event) }
+func (m proxyDisconnected) handle(*Assigner)            { m.proxy.disconnect() }
+func (m trafficReported) handle(assigner *Assigner)     { m.proxy.recordTrafficReport(assigner, m.report) }
+func (m messageAcknowledged) handle(assigner *Assigner) { m.proxy.acknowledge(assigner, m.sequence) }
+func (m quotaAssigned) handle(*Assigner)                { m.proxy.assignQuota(m.quota, m.rateLimit) }
+func (m ordersSent) handle(assigner *Assigner)          { m.proxy.recordSent(assigner, m.orders, m.message) }
+func (m proxySilent) handle(assigner *Assigner)         { m.proxy.leaveSplit(assigner) }
 
 // Messages within the Assigner to the Assigner itself and to its order scheduler.
 type (
@@ -105,6 +105,10 @@
 	// tablesOutdated reports that the tables of the proxy have to be computed again. A nil proxy stands for all
 	// proxies.
 	tablesOutdated struct{ proxy *proxy }
+	// acknowledgmentReceived reports that a proxy acknowledged a message that was sent at the given time, in seconds.
+	acknowledgmentReceived struct{ sentAt float64 }
+	// connectionOpened reports that the stream of any proxy is open.
+	connectionOpened struct{}
 	// schedulingDue starts the computation of the tables of all pending proxies, whose tables may be outdated, and
 	// sends the resulting orders.
 	schedulingDue struct{}
@@ -114,4 +118,8 @@
 func (m joinRequested) handle(assigner *Assigner)  { assigner.queueJoin(m.proxy) }
 func (joinDue) handle(assigner *Assigner)          { assigner.addJoiningProxies() }
 func (m tablesOutdated) handle(assigner *Assigner) { assigner.scheduler.markPending(assigner, m.proxy) }
+func (m acknowledgmentReceived) handle(assigner *Assigner) {
+	assigner.scheduler.recordAcknowledgment(assigner, m.sentAt)
+}
+func (connectionOpened) handle(assigner *Assigner) { assigner.scheduler.recordConnection() }
 func (schedulingDue) handle(assigner *Assigner)    { assigner.scheduler.sendPending(assigner) }
--- a/assign/model_guarantees_test.go
+++ b/assign/model_guarantees_test.go
@@ -70,6 +70,9 @@
 	if quotaSum > 1+1e-9 {
 		m.recordViolation("got quotas that sum to %v, want at most 1", quotaSum)
 	}
+	if m.now < m.limitsWaitUntil {
+		return
+	}
 	for _, p := range m.proxies {
 		if !p.connected || p.stalledUntil > m.now-1 {
 			continue
--- a/assign/model_test.go
+++ b/assign/model_test.go
@@ -39,6 +39,8 @@
 	timers            []float64          // times at which the timers that the assigner set are due, s
 	messagesInTransit []modelMessage     // messages that were sent to proxies and that the proxies have not applied yet
 	acknowledgments   []Event            // acknowledgments that the next batch passes to the assigner
+	newsLostUntil     float64            // time until which acknowledgments are lost, s
+	limitsWaitUntil   float64            // time until which the time limits of the guarantees do not run, s
 	notReadySince     map[string]float64 // time of the notice of a drain or removal, by endpoint name, s
 	orderLog          []string           // text of every order, for the comparison of two runs
 	digest            hash.Hash          // digest of every order, for the comparison with a recorded run
@@ -269,6 +271,9 @@
 		for _, order := range message.orders {
 			message.proxy.apply(order)
 		}
+		if m.now < m.newsLostUntil {
+			continue
+		}
 		m.acknowledgments = append(m.acknowledgments,
 			Acknowledged{Proxy: message.proxy.id, Sequence: message.sequence, Latency: 0.3})
 	}
--- a/assign/proxy.go
+++ b/assign/proxy.go
@@ -87,7 +87,8 @@
 	// Send times of the recent messages to the proxy, in seconds. recordSent removes times that are too old to count
 	// towards the message limit.
 	recentMessageTimes []float64
-	// Messages that the proxy has not acknowledged. Also written by acknowledge.
+	// Messages that the proxy has not acknowledged. Also written by acknowledge. recordSent removes messages that are
+	// known to be carried.
 	messagesInFlight []inFlightMessage
 }
 
@@ -143,7 +144,7 @@
 
 // connect records that the stream of the proxy is open. A proxy that connects has lost its assigned tables and its rate
 // limit. Messages in flight remain recorded: if a proxy connects again without a ProxyDisconnected event in between,
-// its former stream may never have ended.
+// its former stream may never have ended. Their acknowledgments may be lost; see ordering.CarriedMessages.
 func (p *proxy) connect(assigner *Assigner, event ProxyConnected) {
 	p.connected = true
 	p.connectedAt = assigner.now
@@ -206,8 +207,12 @@
 
 // acknowledge removes the message with the given sequence number and all earlier messages from the messages in flight.
 // An unknown sequence number removes no message.
-func (p *proxy) acknowledge(sequence int) {
+func (p *proxy) acknowledge(assigner *Assigner, sequence int) {
 	i := slices.IndexFunc(p.messagesInFlight, func(m inFlightMessage) bool { return m.sequence == sequence })
+	if i < 0 {
+		return
+	}
+	assigner.enqueue(acknowledgmentReceived{p.messagesInFlight[i].sentAt})
 	p.messagesInFlight = p.messagesInFlight[i+1:]
 }
 
@@ -237,6 +242,9 @@
 		return assigner.now-at > window
 	})
 	p.recentMessageTimes = append(p.recentMessageTimes, assigner.now)
+	p.messagesInFlight = slices.DeleteFunc(p.messagesInFlight, func(m inFlightMessage) bool {
+		return m.sentAt < assigner.scheduler.carried.Before
+	})
 	p.messagesInFlight = append(p.messagesInFlight, message)
 }
 
--- a/assign/quota/quota.go
+++ b/assign/quota/quota.go
@@ -98,10 +98,10 @@
 	return math.Max(m.ObservedRate/total, minQuota)
 }
 
-// SmoothRate returns the smoothed rate of a request class at a proxy after a traffic report, in requests per second. The
-// parameter previous is the smoothed rate before the report, requests is the number of requests in the report, and
-// interval is the time in seconds that the report covers, above 0. The weight of the reported rate is that interval as a
-// fraction of the tick interval, but at most 1.
+// SmoothRate returns the smoothed rate of a request class at a proxy after a traffic report, in requests per second.
+// The parameter previous is the smoothed rate before the report, requests is the number of requests in the report, and
+// interval is the time in seconds that the report covers, above 0. The weight of the reported rate is that interval as
+// a fraction of the tick interval, but at most 1.
 //
 // The result is at most the previous rate plus the requests of one tick interval, however short the reported interval
 // is: the reported rate times its weight is the number of requests divided by the longer of the two intervals. The
--- a/assign/report_test.go
+++ b/assign/report_test.go
@@ -6,8 +6,8 @@
 )
 
 // TestTrafficReportOfMinuteIntervalKeepsRatesFinite guards against the crash of the assigner after one traffic report
-// whose interval is close to 0, while a zone is overloaded. The rate of the report by itself is infinite. The report may
-// raise the observed rate by its three requests at most, and every zone keeps a finite fraction of the traffic.
+// whose interval is close to 0, while a zone is overloaded. The rate of the report by itself is infinite. The report
+// may raise the observed rate by its three requests at most, and every zone keeps a finite fraction of the traffic.
 func TestTrafficReportOfMinuteIntervalKeepsRatesFinite(t *testing.T) {
 	const requests = 3
 	for _, interval := range []float64{math.SmallestNonzeroFloat64, 1e-313, 1e-300, 1e-9} {
--- a/assign/scheduler.go
+++ b/assign/scheduler.go
@@ -17,12 +17,21 @@
 	messageOverhead float64 // lines of the order channel that a message occupies in addition to its orders
 	inFlightLimit   float64 // maximum number of lines in unacknowledged messages; see ordering.Channel.InFlightLimit
 	messageLimit    int     // maximum number of messages to one proxy within the message window; 0: no limit
+	// Time in seconds within which a message that has left the channel is acknowledged; see
+	// ordering.Channel.AcknowledgmentTime.
+	acknowledgmentTime float64
 
 	// Sequence number of the last batch that requested acknowledgments. Written by sendPending.
 	lastSequence int
 	// Proxies whose tables have to be computed, because their tables may have changed or their message was deferred.
 	// Written by markPending, sendPending and takePendingMessages.
 	pendingProxies []*proxy
+	// Messages that the channel has carried although their acknowledgments were lost. Written by recordAcknowledgment
+	// and sendPending.
+	carried ordering.CarriedMessages
+	// When a message is sent although the channel has no room for it. Written by recordAcknowledgment, recordConnection
+	// and admits.
+	probeTimer ordering.ProbeTimer
 	// Time before which the scheduler does not try again to send the messages that it deferred, in seconds. Written by
 	// markPending and sendPending.
 	deferredUntil float64
@@ -39,6 +48,9 @@
 		messageOverhead: config.Channel.MessageOverhead,
 		inFlightLimit:   channel.InFlightLimit(),
 		messageLimit:    int(config.Channel.MessageLimit),
+
+		acknowledgmentTime: channel.AcknowledgmentTime(),
+		probeTimer:         ordering.NewProbeTimer(channel.ProbeInterval()),
 	}
 }
 
@@ -80,7 +92,8 @@
 		z.recompute(assigner)
 	}
 	messages := s.takePendingMessages(assigner)
-	unacknowledgedLines := linesInFlight(assigner.proxies)
+	s.carried = s.carried.Advance(assigner.now, s.acknowledgmentTime)
+	unacknowledgedLines := s.linesInFlight(assigner.proxies)
 	sequence := (s.lastSequence + 1) % sequenceModulus
 	sent := false
 	congested := ordering.IsCongested(urgentLines(messages), unacknowledgedLines, s.inFlightLimit)
@@ -88,16 +101,15 @@
 		if congested && message.attributes.Urgent {
 			message.keepEssentialOrders(s.messageOverhead)
 		}
-		fits := ordering.Fits(message.attributes, unacknowledgedLines, s.inFlightLimit)
-		if !fits || !ordering.MessageAllowed(message.proxy.messageHistory(assigner),
-			message.attributes.Urgent, s.messageLimit) {
+		if !s.admits(assigner, message, unacknowledgedLines) {
 			s.pendingProxies = append(s.pendingProxies, message.proxy)
 			continue
 		}
 		sent = true
 		unacknowledgedLines += message.attributes.Lines
 		assigner.emit(message.orders...)
-		assigner.enqueue(ordersSent{message.proxy, message.orders, inFlightMessage{sequence, message.attributes.Lines, assigner.now}})
+		inFlight := inFlightMessage{sequence: sequence, lines: message.attributes.Lines, sentAt: assigner.now}
+		assigner.enqueue(ordersSent{message.proxy, message.orders, inFlight})
 	}
 	if sent {
 		s.lastSequence = sequence
@@ -109,6 +121,33 @@
 	}
 }
 
+// admits reports whether a message may be sent now, because the channel has room for it or because a probe is due. It
+// records the time of the message. The parameter inFlight is the number of lines in flight.
+func (s *orderScheduler) admits(assigner *Assigner, message *proxyMessage, inFlight float64) bool {
+	if !ordering.MessageAllowed(message.proxy.messageHistory(assigner), message.attributes.Urgent, s.messageLimit) {
+		return false
+	}
+	probe := !ordering.Fits(message.attributes, inFlight, s.inFlightLimit)
+	if probe && !s.probeTimer.Due(assigner.now, inFlight) {
+		return false
+	}
+	if probe {
+		assigner.log("order channel full without acknowledgments; probe sent", LogField{"lines_in_flight", inFlight},
+			LogField{"proxy", message.proxy.id})
+	}
+	s.probeTimer = s.probeTimer.AfterMessage(assigner.now, probe)
+	return true
+}
+
+// recordAcknowledgment records that a proxy acknowledged a message that was sent at the time sentAt, in seconds.
+func (s *orderScheduler) recordAcknowledgment(assigner *Assigner, sentAt float64) {
+	s.carried = s.carried.Acknowledge(sentAt, assigner.now)
+	s.probeTimer = s.probeTimer.AfterSignOfLife()
+}
+
+// recordConnection records that a proxy has connected.
+func (s *orderScheduler) recordConnection() { s.probeTimer = s.probeTimer.AfterSignOfLife() }
+
 // takePendingMessages returns the messages for the pending proxies in the order in which they are to be sent, and
 // clears pendingProxies. It builds the tables in the order of pendingProxies. The order of building affects the tables,
 // because each table that is built adds to the load in the table plan of its zone.
@@ -144,12 +183,14 @@
 	return lines
 }
 
-// linesInFlight returns the number of lines in all messages that have not been acknowledged. The channel may still hold
-// these lines.
-func linesInFlight(proxies []*proxy) (lines float64) {
+// linesInFlight returns the number of lines in all messages that the channel may still hold: those that have not been
+// acknowledged and are not known to be carried.
+func (s *orderScheduler) linesInFlight(proxies []*proxy) (lines float64) {
 	for _, p := range proxies {
 		for _, message := range p.messagesInFlight {
-			lines += message.lines
+			if message.sentAt >= s.carried.Before {
+				lines += message.lines
+			}
 		}
 	}
 	return lines
--- a/assign/stats.go
+++ b/assign/stats.go
@@ -4,7 +4,8 @@
 type Stats struct {
 	// ObservedRate is the rate of the requests that reach the members of the rate split, in requests per second.
 	ObservedRate float64
-	// LinesInFlight is the number of lines in the messages that were sent and not acknowledged.
+	// LinesInFlight is the number of lines in the messages that were sent, are not acknowledged, and are not known to be
+	// carried by the channel.
 	LinesInFlight float64
 	// OldestInFlight is the time in seconds since the oldest of these messages was sent; 0 if there are none.
 	OldestInFlight float64
@@ -17,7 +18,7 @@
 
 // Stats returns the state after the last batch. It reads every record of a proxy.
 func (a *Assigner) Stats() Stats {
-	stats := Stats{WaitingProxies: len(a.scheduler.pendingProxies)}
+	stats := Stats{WaitingProxies: len(a.scheduler.pendingProxies), LinesInFlight: a.scheduler.linesInFlight(a.proxies)}
 	for _, p := range a.splitMembers() {
 		stats.ObservedRate += p.observedRate()
 	}
@@ -26,8 +27,9 @@
 			stats.DefaultTableProxies++
 		}
 		for _, message := range p.messagesInFlight {
-			stats.LinesInFlight += message.lines
-			stats.OldestInFlight = max(stats.OldestInFlight, a.now-message.sentAt)
+			if message.sentAt >= a.scheduler.carried.Before {
+				stats.OldestInFlight = max(stats.OldestInFlight, a.now-message.sentAt)
+			}
 		}
 	}
 	return stats
