Default tables may hold endpoints of any zone, whatever the list says at connect

Cause: what a default table holds was inferred from the list at the moment at which the proxy connects (four ready endpoints in its zone: no others). The proxy draws it at its start, from another list, and a drain elsewhere did not replace it.

Invariant that now holds: a default table counts as holding any endpoint of any zone, at any time. It is kept in zone.recompute, whose need of a replacement covers all records of endpoints. ContentsAtConnect is UnknownAtConnect, without its guess about zones; the expectations of its test on OnlyLocal go with the guess, and every case keeps its other expectation.

--- a/assign/assignment/assignment_test.go
+++ b/assign/assignment/assignment_test.go
@@ -35,24 +35,24 @@
 	}
 }
 
-func TestContentsAtConnect(t *testing.T) {
+func TestUnknownAtConnect(t *testing.T) {
 	for _, test := range []struct {
 		name              string
 		defaultTablesOnly bool                    // whether the proxy holds only its default tables
 		supplies          []assignment.ZoneSupply // supply of the proxy's zone for each of the tables
-		want              assignment.TableContents
+		want              bool                    // whether the tables are unknown
 	}{
-		{"four ready", true, []assignment.ZoneSupply{{ReadyEndpoints: 4}}, assignment.TableContents{OnlyLocal: true}},
-		{"three ready", true, []assignment.ZoneSupply{{ReadyEndpoints: 3}}, assignment.TableContents{}},
-		{"two ready", true, []assignment.ZoneSupply{{ReadyEndpoints: 2}}, assignment.TableContents{Unknown: true}},
-		{"disallowed in the zone, none ready", true, []assignment.ZoneSupply{{ReadyEndpoints: 0, Disallowed: true}}, assignment.TableContents{}},
-		{"not only default tables", false, []assignment.ZoneSupply{{ReadyEndpoints: 4}}, assignment.TableContents{OnlyLocal: true, Unknown: true}},
-		{"one of two tables disallowed in the zone", true, []assignment.ZoneSupply{{ReadyEndpoints: 4}, {ReadyEndpoints: 0, Disallowed: true}}, assignment.TableContents{}},
-		{"one of two tables with two ready", true, []assignment.ZoneSupply{{ReadyEndpoints: 2}, {ReadyEndpoints: 4}}, assignment.TableContents{Unknown: true}},
+		{"four ready", true, []assignment.ZoneSupply{{ReadyEndpoints: 4}}, false},
+		{"three ready", true, []assignment.ZoneSupply{{ReadyEndpoints: 3}}, false},
+		{"two ready", true, []assignment.ZoneSupply{{ReadyEndpoints: 2}}, true},
+		{"disallowed in the zone, none ready", true, []assignment.ZoneSupply{{ReadyEndpoints: 0, Disallowed: true}}, false},
+		{"not only default tables", false, []assignment.ZoneSupply{{ReadyEndpoints: 4}}, true},
+		{"one of two tables disallowed in the zone", true, []assignment.ZoneSupply{{ReadyEndpoints: 4}, {ReadyEndpoints: 0, Disallowed: true}}, false},
+		{"one of two tables with two ready", true, []assignment.ZoneSupply{{ReadyEndpoints: 2}, {ReadyEndpoints: 4}}, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			if got := assignment.ContentsAtConnect(test.defaultTablesOnly, test.supplies); got != test.want {
-				t.Errorf("got %+v, want %+v", got, test.want)
+			if got := assignment.UnknownAtConnect(test.defaultTablesOnly, test.supplies); got != test.want {
+				t.Errorf("got unknown %t, want %t", got, test.want)
 			}
 		})
 	}
--- a/assign/assignment/defaulttable.go
+++ b/assign/assignment/defaulttable.go
@@ -7,6 +7,8 @@
 // tables before a limit).
 package assignment
 
+import "slices"
+
 // ReplacementNeed states whether, and how urgently, a default table has to be replaced because of the endpoints that it
 // may hold. The need of a table is the highest of the needs that its endpoints cause.
 type ReplacementNeed int
@@ -35,14 +37,9 @@
 	return KeepDefault
 }
 
-const (
-	// minReadyForKnownContents is the number of ready endpoints of a zone below which the contents of the zone's
-	// default tables are unknown, because the zone is failing or recovering.
-	minReadyForKnownContents = 3
-	// minReadyForLocalTables is the least number of ready endpoints of a zone at which the zone's default tables hold
-	// no endpoints of other zones.
-	minReadyForLocalTables = 4
-)
+// minReadyForKnownTables is the number of ready endpoints of a zone below which the zone's default tables count as
+// unknown, because the zone is failing or recovering.
+const minReadyForKnownTables = 3
 
 // ZoneSupply describes the endpoints that a zone has for the request classes that share a table.
 type ZoneSupply struct {
@@ -50,25 +47,19 @@
 	Disallowed     bool // whether the classes may not use any endpoint of the zone
 }
 
-// TableContents is what the assigner knows about the tables that a proxy holds when it connects.
-type TableContents struct {
-	OnlyLocal bool // whether the tables hold only endpoints of the proxy's zone
-	Unknown   bool // whether the tables may hold endpoints that the assigner does not know
-}
-
-// ContentsAtConnect returns what a proxy's tables may hold when the proxy connects. The parameter supplies holds the
-// supply of the proxy's zone for each of the tables. The parameter defaultTablesOnly states whether the proxy holds
-// only its default tables. Any other proxy holds tables of another assigner, whose contents are unknown. The default
-// table of classes that must not use the zone's endpoints holds endpoints of other zones. In a zone with few ready
-// endpoints, which is failing or recovering, the contents of default tables are unknown.
-func ContentsAtConnect(defaultTablesOnly bool, supplies []ZoneSupply) TableContents {
-	contents := TableContents{OnlyLocal: true, Unknown: !defaultTablesOnly}
-	for _, supply := range supplies {
-		tooFewReady := supply.ReadyEndpoints < minReadyForKnownContents && !supply.Disallowed
-		contents.OnlyLocal = contents.OnlyLocal && supply.ReadyEndpoints >= minReadyForLocalTables
-		contents.Unknown = contents.Unknown || tooFewReady
-	}
-	return contents
+// UnknownAtConnect reports whether the tables of a proxy that connects may hold endpoints that the assigner does not
+// know. The parameter supplies holds the supply of the proxy's zone for each of the tables. The parameter
+// defaultTablesOnly states whether the proxy holds only its default tables. Any other proxy holds tables of another
+// assigner, whose contents are unknown. In a zone with few ready endpoints, which is failing or recovering, the
+// contents of default tables are unknown.
+//
+// A known default table may hold any endpoint of any zone that was listed at some time. The proxy drew it when it
+// started, which may be long before it connects, from the list of that time. In which zones a table drawn from the
+// present list would lie says nothing about it.
+func UnknownAtConnect(defaultTablesOnly bool, supplies []ZoneSupply) bool {
+	return !defaultTablesOnly || slices.ContainsFunc(supplies, func(supply ZoneSupply) bool {
+		return supply.ReadyEndpoints < minReadyForKnownTables && !supply.Disallowed
+	})
 }
 
 // ProxyState holds the inputs of NeedsAssignedTables and AttachmentIsUrgent.
--- a/assign/model_test.go
+++ b/assign/model_test.go
@@ -146,15 +146,25 @@
 // connect opens the stream of a proxy. At its first connection, and at a random third of its later connections, the
 // proxy has only its default tables.
 func (m *model) connect(p *modelProxy) {
-	p.connected, p.connectedAt, p.messageTimes = true, m.now, nil
 	defaultTablesOnly := p.tables == nil || m.random.Intn(3) == 0
 	if defaultTablesOnly {
-		p.tables, p.entries, p.defaultTables = map[int]int{}, map[int]map[string]float64{}, nil
-		for class := range modelClassCount {
-			p.tables[class] = defaultTableNumber
-			p.defaultTables = append(p.defaultTables, m.newDefaultTable(class, p.zone))
-		}
+		m.startProxy(p)
+	}
+	m.connectStarted(p, defaultTablesOnly)
+}
+
+// startProxy starts the process of a proxy, which draws its default tables from the present endpoint list.
+func (m *model) startProxy(p *modelProxy) {
+	p.tables, p.entries, p.defaultTables = map[int]int{}, map[int]map[string]float64{}, nil
+	for class := range modelClassCount {
+		p.tables[class] = defaultTableNumber
+		p.defaultTables = append(p.defaultTables, m.newDefaultTable(class, p.zone))
 	}
+}
+
+// connectStarted opens the stream of a proxy that has started before.
+func (m *model) connectStarted(p *modelProxy, defaultTablesOnly bool) {
+	p.connected, p.connectedAt, p.messageTimes = true, m.now, nil
 	m.handle(ProxyConnected{Proxy: p.id, Zone: p.zone, TypicalRate: 10, DefaultTablesOnly: defaultTablesOnly})
 }
 
--- a/assign/proxy.go
+++ b/assign/proxy.go
@@ -51,10 +51,12 @@
 	id int // proxy number; set by Assigner.getOrCreateProxy and not changed afterwards
 
 	// The fields of this group are written by connect.
-	zone              string
-	connectedAt       float64                  // time at which the proxy connected last, in seconds
-	typicalRate       float64                  // requests per second that the proxy receives on a typical day
-	contentsAtConnect assignment.TableContents // knowledge about the tables that the proxy held when it connected
+	zone        string
+	connectedAt float64 // time at which the proxy connected last, in seconds
+	typicalRate float64 // requests per second that the proxy receives on a typical day
+	// Whether the tables that the proxy held when it connected may hold endpoints that the Assigner does not know; see
+	// assignment.UnknownAtConnect.
+	hasUnknownTables bool
 
 	connected bool // whether the stream of the proxy is open; written by connect and disconnect
 	// Whether an order made the proxy use tables of the Assigner. Set by recordSentOrder, cleared by connect.
@@ -158,7 +160,7 @@
 	unlimited := assignment.ClassLimit{Rate: admission.Unlimited, Retries: assigner.config.Retries}
 	p.heldLimits = slices.Repeat([]assignment.ClassLimit{unlimited}, len(assigner.classes))
 	assigner.getOrCreateZone(p.zone) // creates the record of a zone in which no endpoint was listed
-	p.contentsAtConnect = assignment.ContentsAtConnect(event.DefaultTablesOnly, p.tableSupplies(assigner))
+	p.hasUnknownTables = assignment.UnknownAtConnect(event.DefaultTablesOnly, p.tableSupplies(assigner))
 	// The typical rate of the proxy is used until the proxy reports the rates of its request classes. How the typical
 	// rate divides among the classes is unknown, so each class gets an equal part.
 	for i, rate := range p.classRates {
--- a/assign/tables.go
+++ b/assign/tables.go
@@ -46,10 +46,10 @@
 		Connected:         p.connected,
 		TablesByShard:     assigner.config.ShardCount > 0,
 		HasAssignedTables: p.hasAssignedTables,
-		HasUnknownTables:  p.contentsAtConnect.Unknown,
+		HasUnknownTables:  p.hasUnknownTables,
 		RateLimited:       p.rateLimit != 0,
 		ZoneOverloaded:    z.overloaded,
-		DefaultTableNeed:  z.defaultTableNeed(p.contentsAtConnect.OnlyLocal),
+		DefaultTableNeed:  z.defaultTableNeed,
 	}
 	if !assignment.NeedsAssignedTables(inputs) {
 		return tableOrders{}
--- a/assign/zone.go
+++ b/assign/zone.go
@@ -14,7 +14,7 @@
 type zone struct {
 	name string // name of the zone; set by Assigner.getOrCreateZone and not changed afterwards
 
-	// The fields from overloaded to defaultNeedOwnZone are written by recompute.
+	// The fields from overloaded to defaultTableNeed are written by recompute.
 
 	// Whether the endpoints of the zone are overloaded; see locality.IsOverloaded.
 	overloaded bool
@@ -26,10 +26,9 @@
 	readyWeight float64
 	// Highest value that readyWeight has had so far.
 	peakWeight float64
-	// Whether default tables with endpoints of any zone have to be replaced, and how urgently.
-	defaultNeedAnyZone assignment.ReplacementNeed
-	// Whether default tables with only endpoints of the zone have to be replaced, and how urgently.
-	defaultNeedOwnZone assignment.ReplacementNeed
+	// Whether default tables of proxies in the zone have to be replaced, and how urgently. The tables may hold endpoints
+	// of any zone.
+	defaultTableNeed assignment.ReplacementNeed
 
 	tablePlans map[*tableGroup]*tablePlan // table plan of each table group; written by planFor, discarded by recompute
 
@@ -57,17 +56,15 @@
 // table plans of the zone.
 func (z *zone) recompute(assigner *Assigner) {
 	z.tablePlans = map[*tableGroup]*tablePlan{}
-	z.defaultNeedAnyZone = assignment.KeepDefault
+	z.defaultTableNeed = assignment.KeepDefault
 	if assigner.anyEndpointExpired {
-		z.defaultNeedAnyZone = assignment.ReplaceDefaultUrgently
+		z.defaultTableNeed = assignment.ReplaceDefaultUrgently
 	}
-	z.defaultNeedOwnZone = z.defaultNeedAnyZone
 	var summary locality.ZoneSummary
 	for _, record := range assigner.endpointList {
 		condition := record.conditionFor(assigner, z.name)
-		local := record.zone == z.name
 		summary.Add(locality.Endpoint{
-			Local:        local,
+			Local:        record.zone == z.name,
 			Ready:        record.ready(),
 			Warming:      condition.warming,
 			Unverified:   condition.unverified,
@@ -76,10 +73,7 @@
 			FailureRatio: condition.health.FailureRatio,
 		})
 		need := assignment.ReplacementNeedFor(record.ready(), condition.warming, condition.health.Weight)
-		z.defaultNeedAnyZone = max(z.defaultNeedAnyZone, need)
-		if local {
-			z.defaultNeedOwnZone = max(z.defaultNeedOwnZone, need)
-		}
+		z.defaultTableNeed = max(z.defaultTableNeed, need)
 	}
 	z.readyWeight = summary.ReadyWeight
 	z.peakWeight = math.Max(z.peakWeight, summary.ReadyWeight)
@@ -88,15 +82,6 @@
 	z.excludeWarming = subset.ExcludeWarming(summary.MostWarmAttemptsFail(), assigner.tableSize.Entries)
 }
 
-// defaultTableNeed returns whether a default table of a proxy in the zone has to be replaced, and how urgently. The
-// parameter local states whether the table holds only endpoints of the zone.
-func (z *zone) defaultTableNeed(local bool) assignment.ReplacementNeed {
-	if local {
-		return z.defaultNeedOwnZone
-	}
-	return z.defaultNeedAnyZone
-}
-
 // adjustSpillover moves the spill-over of the zone by the step of one tick.
 func (z *zone) adjustSpillover(assigner *Assigner) {
 	inputs := locality.ZoneLoad{Overloaded: z.overloaded, MeanBusyFraction: z.busyFraction, ReadyWeight: z.readyWeight}
