KNOWN-RED: weight of a warming endpoint in a restricted class's table after zone losses

One seed gets a test of its own, which fails as listed; bound and check are those of the model. Not traced further: the four seeds looked at are of the class that may not use its proxy's zone, while the zones that it may use lack most endpoints.

--- a/assign/default_table_test.go
+++ b/assign/default_table_test.go
@@ -68,24 +68,40 @@
 func TestGuaranteesHoldWithDefaultTablesOfEarlierLists(t *testing.T) {
 	forEachSeed(t, func(t *testing.T, seed int64) {
 		t.Helper()
-		sim := newModel(seed)
-		sim.restartAssigner()
-		starts := rand.New(rand.NewSource(seed))
-		run := &randomFaultRun{model: sim, busy: 0.5}
-		for run.batchCount = 0; run.batchCount < 400 && sim.firstViolation == ""; run.batchCount++ {
-			p := sim.proxies[starts.Intn(len(sim.proxies))]
-			switch {
-			case starts.Intn(60) == 0:
-				sim.setZoneState(zoneByNumber(starts.Intn(3)), []EndpointState{Ready, Removed}[starts.Intn(2)])
-			case !p.connected && starts.Intn(4) == 0:
-				sim.startProxy(p)
-			case !p.connected && p.tables != nil && len(p.entries) == 0 && starts.Intn(4) == 0:
-				sim.connectStarted(p, true)
-			}
-			sim.step(0.02+0.2*starts.Float64(), run.nextEvents()...)
-		}
-		if sim.firstViolation != "" {
+		if sim := runWithEarlierLists(seed); sim.firstViolation != "" {
 			t.Error(sim.firstViolation)
 		}
 	})
 }
+
+// TestWarmingEndpointsOfRestrictedClassAfterZoneLosses plays a seed on which an assigner starts while the zones that a
+// request class may use lack most of their endpoints. In the table of that class at a proxy of another zone, a warming
+// endpoint must not have more weight than its capacity justifies.
+func TestWarmingEndpointsOfRestrictedClassAfterZoneLosses(t *testing.T) {
+	if sim := runWithEarlierLists(-5471581105928218526); sim.firstViolation != "" {
+		t.Error(sim.firstViolation)
+	}
+}
+
+// runWithEarlierLists runs a model with random faults, zones that are lost and return, and proxies that start some time
+// before they connect. It stops at the first violation of a guarantee.
+func runWithEarlierLists(seed int64) *model {
+	sim := newModel(seed)
+	sim.restartAssigner()
+	starts := rand.New(rand.NewSource(seed))
+	run := &randomFaultRun{model: sim, busy: 0.5}
+	for run.batchCount = 0; run.batchCount < 400 && sim.firstViolation == ""; run.batchCount++ {
+		p := sim.proxies[starts.Intn(len(sim.proxies))]
+		hasDefaultTables := p.tables != nil && len(p.entries) == 0
+		switch {
+		case starts.Intn(60) == 0:
+			sim.setZoneState(zoneByNumber(starts.Intn(3)), []EndpointState{Ready, Removed}[starts.Intn(2)])
+		case !p.connected && starts.Intn(4) == 0:
+			sim.startProxy(p)
+		case !p.connected && hasDefaultTables && starts.Intn(4) == 0:
+			sim.connectStarted(p, true)
+		}
+		sim.step(0.02+0.2*starts.Float64(), run.nextEvents()...)
+	}
+	return sim
+}
