Report server: an answer whose deadline passed in a suspension is tried once more

Callers saw a ping that was read and never answered when the process was suspended for over half a second: the write deadline passes between its setting and the write, which then fails without an attempt.

Invariant: a message that was read is answered unless the client does not read for the whole of both deadlines, 0.5 s and 0.1 s. It is kept in session.write. TestPongIsSentAfterSuspensionBeforeWrite failed before (EOF, no pong). Not mended: a process suspended for most of the 0.65 s after SIGTERM still ends at once when it continues.

--- a/internal/reportserver/server.go
+++ b/internal/reportserver/server.go
@@ -94,7 +94,7 @@
 
 // Serve accepts connections until the context ends. It then closes the listener, stops reading from the connections and
 // waits until all sessions have answered the messages that they have already read. A client that does not read its
-// answers delays Serve by at most writeTimeout. Serve must not be called before the assigner is ready, because the
+// answers delays Serve by at most writeTimeout plus writeRetryTimeout. Serve must not be called before the assigner is ready, because the
 // server answers pings from its first connection on, and a pong tells a client that the assigner is ready.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) {
 	var sessions sync.WaitGroup
--- a/internal/reportserver/session.go
+++ b/internal/reportserver/session.go
@@ -21,6 +21,8 @@
 	maxMalformedLines             = 12
 	// writeTimeout is the maximum time that a write to a client may block because the client does not read its answers.
 	writeTimeout = 500 * time.Millisecond
+	// writeRetryTimeout is the maximum time that the second attempt of a write may block.
+	writeRetryTimeout = 100 * time.Millisecond
 	// maxLoggedLineSize is the maximum number of bytes that are logged from the start of a malformed line.
 	maxLoggedLineSize = 200
 )
@@ -179,15 +181,27 @@
 	return nil
 }
 
-// write sends a line to the client. It blocks for at most writeTimeout and returns an error if the write fails.
+// write sends a line to the client. It blocks for at most writeTimeout plus writeRetryTimeout and returns an error if
+// the write fails. After a timeout it tries once more to send the rest of the line, because the deadline may have passed
+// while the process was suspended and could not write.
 func (s *session) write(line []byte) error {
-	if err := s.client.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return fmt.Errorf("set write deadline: %w", err)
+	n, err := s.writeWithin(line, writeTimeout)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		_, err = s.writeWithin(line[n:], writeRetryTimeout)
 	}
-	if _, err := s.client.conn.Write(line); err != nil {
-		return fmt.Errorf("write answer: %w", err)
+	return err
+}
+
+// writeWithin sends bytes to the client and returns the number of bytes that it has sent. It blocks for at most the
+// timeout and returns an error if the write fails.
+func (s *session) writeWithin(data []byte, timeout time.Duration) (n int, err error) {
+	if err := s.client.conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+		return 0, fmt.Errorf("set write deadline: %w", err)
 	}
-	return nil
+	if n, err = s.client.conn.Write(data); err != nil {
+		return n, fmt.Errorf("write answer: %w", err)
+	}
+	return n, nil
 }
 
 // refuseClient logs the reason for which the server closes the connection and sends the client the line that refuses
--- a/internal/reportserver/session_test.go
+++ b/internal/reportserver/session_test.go
@@ -1,6 +1,7 @@
 package reportserver
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"madderhollow/internal/eventually"
+	"madderhollow/internal/wire"
 )
 
 // slowConn is a client connection that pauses before each write.
@@ -177,3 +179,48 @@
 		}
 	}
 }
+
+// suspendedConn is a connection of a process that is suspended after it has set the first write deadline: the deadline
+// has passed before the write begins.
+type suspendedConn struct {
+	net.Conn
+	resumed bool // whether a write deadline was set before
+}
+
+func (c *suspendedConn) SetWriteDeadline(deadline time.Time) error {
+	if !c.resumed {
+		c.resumed = true
+		deadline = time.Now().Add(-time.Second)
+	}
+	if err := c.Conn.SetWriteDeadline(deadline); err != nil {
+		return fmt.Errorf("suspended connection: %w", err)
+	}
+	return nil
+}
+
+// TestPongIsSentAfterSuspensionBeforeWrite guards against a ping that is read and never answered. The write deadline of
+// the pong passes while the process is suspended.
+func TestPongIsSentAfterSuspensionBeforeWrite(t *testing.T) {
+	_, _, server := startServer(t, 1)
+	clientEnd, serverEnd := net.Pipe()
+	sessionEnded := make(chan struct{})
+	go func() {
+		defer close(sessionEnded)
+		_ = newSession(server, newClientConn(&suspendedConn{Conn: serverEnd})).run(t.Context())
+		_ = serverEnd.Close()
+	}()
+	if err := clientEnd.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(clientEnd, pingLine+"\n"); err != nil {
+		t.Fatal(err)
+	}
+	got, err := bufio.NewReader(clientEnd).ReadString('\n')
+	if want := string(wire.EncodePong()); got != want {
+		t.Errorf("got %q (%v), want %q", got, err, want)
+	}
+	if err := clientEnd.Close(); err != nil {
+		t.Error(err)
+	}
+	<-sessionEnded
+}
