--- a/assign/ordering/probe_test.go
+++ b/assign/ordering/probe_test.go
@@ -75,7 +75,7 @@
 	for _, test := range []struct {
 		name    string
 		channel ordering.Channel
-		want    float64 // in seconds
+		want    float64 // wanted interval, in seconds
 	}{
 		{"queue limit of 1.5 s, transit of 0.9 s", ordering.Channel{QueueLimit: 2100, LinesPerSecond: 1400, MaxTransitTime: 0.9}, 2.4},
 		{"limit by the grace of a drain", ordering.Channel{QueueLimit: 4200, LinesPerSecond: 1400, MaxTransitTime: 0.9, UrgentGracePeriod: 3.9}, 2.4},
@@ -97,7 +97,7 @@
 	for _, test := range []struct {
 		name     string
 		timer    ordering.ProbeTimer
-		now      float64 // in seconds
+		now      float64 // time of the question, in seconds
 		inFlight float64 // number of lines in flight
 		want     bool    // whether a probe is due
 	}{
