--- /dev/null
+++ b/review/standin-2/cases.go
@@ -0,0 +1,256 @@
+package main
+
+import (
+	"fmt"
+	"math/rand"
+	"syscall"
+	"time"
+)
+
+func init() {
+	cases["hall"] = playable{oviedoSite, hall}
+	cases["deaths"] = playable{deathsSite, deaths}
+	cases["queue"] = playable{galiciaSite, queueCase}
+	cases["stall"] = playable{stallSite, stall}
+	cases["news"] = playable{newsSite, newsBreak}
+}
+
+// oviedoSite is the grown deployment of Oviedo: each figure lies inside its page's range.
+func oviedoSite(*rand.Rand) Site {
+	return Site{
+		Zones: []string{"north", "south", "east", "west"},
+		Classes: []Class{{Name: "record-read", Share: .52}, {Name: "obs-upload", Share: .34},
+			{Name: "cert-issue", Share: .14, OnlyZones: []string{"north", "south", "east"}}},
+		Proxies: 152, Instances: 2, Rate: 5.8, Standing: 5,
+		LinesPerS: 1450, Head: 6, PendingMax: 2 * 152 * 31, PropagationS: 0.34, WorstS: 0.85,
+		GraceS: 1.5, BareS: 6, ColdFrom: 0.26, ColdS: 12, FallS: 3, Tip: 4, IntervalS: 1, RoundMs: 5, UsualHow: 1, Admission: "rps",
+	}
+}
+
+func (r *Run) addServers(perZone int, load float64) {
+	total := r.site.Rate * float64(r.site.Proxies)
+	servers := float64(perZone * len(r.site.Zones))
+	for _, z := range r.site.Zones {
+		for i := range perZone {
+			r.addEndpoint(fmt.Sprintf("s-%s-%d", z, i), z, 1, total/servers/load)
+		}
+	}
+}
+
+// hall loses all servers of one hall on a calm day. The list tells it in one change.
+func hall(r *Run) {
+	r.rule = "drain"
+	r.addServers(25, 0.5)
+	r.begin()
+	r.awaitReady()
+	time.Sleep(10 * time.Second)
+	zone := r.site.Zones[r.rng.Intn(len(r.site.Zones))]
+	if r.trouble {
+		var lost []*Endpoint
+		r.do(func() {
+			for _, e := range r.endpoints {
+				if e.Zone == zone {
+					e.Running = false
+					lost = append(lost, e)
+				}
+			}
+			r.logf("hall %s is lost", zone)
+		})
+		time.Sleep(2 * time.Second)
+		r.do(func() {
+			for _, e := range lost {
+				e.Status = "left"
+			}
+			r.tell(lost...)
+		})
+	}
+	time.Sleep(12 * time.Second)
+}
+
+// newsSite is the grown deployment of Oviedo with a longer grace.
+func newsSite(rng *rand.Rand) Site {
+	s := oviedoSite(rng)
+	s.GraceS, s.PropagationS, s.WorstS = 3, 0.2, 0.5
+	s.PendingMax = 1.5 * s.LinesPerS
+	return s
+}
+
+// newsBreak breaks the relay's news once, a while after a server has left.
+func newsBreak(r *Run) {
+	r.rule = "queue"
+	r.addServers(25, 0.5)
+	r.begin()
+	r.awaitReady()
+	time.Sleep(8 * time.Second)
+	r.do(func() {
+		e := r.endpoints[r.rng.Intn(len(r.endpoints))]
+		e.Status = "leaving"
+		r.tell(e)
+		time.AfterFunc(5*time.Second, func() { r.do(func() { e.Running, e.Status = false, "left"; r.tell(e) }) })
+	})
+	time.Sleep(15 * time.Second)
+	if r.trouble {
+		r.do(func() {
+			for _, in := range r.instances {
+				r.logf("instance %d: the relay breaks off its news", in.index)
+				in.breakNews(false)
+			}
+		})
+	}
+	time.Sleep(10 * time.Second)
+}
+
+// stallSite is the grown deployment of Oviedo with three assigners.
+func stallSite(rng *rand.Rand) Site {
+	s := oviedoSite(rng)
+	s.Instances, s.Proxies = 4, 156
+	s.LinesPerS, s.PropagationS, s.WorstS = 1400, 0.3, 0.75
+	s.PendingMax = 2 * 156 * 31
+	return s
+}
+
+// stall makes the assigners stand still for 2 s, 4 s apart. Servers drain one at a time, each told shortly after the end
+// of a stall.
+func stall(r *Run) {
+	r.rule = "drain"
+	r.addServers(28, 0.5)
+	r.begin()
+	r.awaitReady()
+	time.Sleep(4 * time.Second)
+	// A server restarts, so that all proxies get tables of their assigner.
+	r.do(func() {
+		e := r.endpoints[r.rng.Intn(len(r.endpoints))]
+		e.Started = time.Now()
+		r.tell(e)
+	})
+	time.Sleep(14 * time.Second)
+	for range 5 {
+		for _, in := range r.instances[:3] {
+			if r.trouble {
+				r.do(func() { in.stopped = true })
+				in.signal(syscall.SIGSTOP)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		for _, in := range r.instances[:3] {
+			if r.trouble {
+				in.signal(syscall.SIGCONT)
+				r.do(func() { in.stopped = false })
+			}
+		}
+		r.do(func() { r.logf("end of a stall") })
+		time.Sleep(200 * time.Millisecond)
+		r.drain(4)
+		time.Sleep(3500 * time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
+}
+
+// drain drains some servers of each zone at once. They are gone 5 s later.
+func (r *Run) drain(perZone int) {
+	var drained []*Endpoint
+	r.do(func() {
+		for i := range perZone * len(r.site.Zones) {
+			zone := r.site.Zones[i%len(r.site.Zones)]
+			for _, e := range r.endpoints {
+				if e.Zone == zone && e.Status == "active" {
+					e.Status = "leaving"
+					drained = append(drained, e)
+					break
+				}
+			}
+		}
+		r.tell(drained...)
+	})
+	time.AfterFunc(5*time.Second, func() {
+		r.do(func() {
+			for _, e := range drained {
+				e.Running, e.Status = false, "left"
+			}
+			r.tell(drained...)
+		})
+	})
+}
+
+// deaths kills two of four assigners on a calm day, which come back after 8 s. Meanwhile some servers drain.
+func deaths(r *Run) {
+	r.rule = "drain"
+	r.addServers(28, 0.5)
+	r.begin()
+	r.awaitReady()
+	time.Sleep(8 * time.Second)
+	first := r.rng.Intn(2)
+	if r.trouble {
+		for i := range 2 {
+			in := r.instances[first+2*i]
+			r.do(func() { r.logf("instance %d dies", in.index) })
+			in.end(syscall.SIGKILL)
+			time.AfterFunc(8*time.Second, func() { r.do(func() { in.startProcess(r.root, r.command) }) })
+		}
+	}
+	time.Sleep(4 * time.Second)
+	r.drain(7)
+	time.Sleep(12 * time.Second)
+}
+
+// galiciaSite is the grown deployment of Galicia, with a limit of the channel that is the least of the page, or twice a
+// message with one order for each proxy if that is more.
+func galiciaSite(*rand.Rand) Site {
+	s := Site{
+		Zones:   []string{"lugo", "ourense", "vigo"},
+		Classes: []Class{{Name: "daily-summary", Share: .43}, {Name: "series-export", Share: .30}, {Name: "issue-report", Share: .27}},
+		Proxies: 260, Instances: 2, Rate: 3.4, Standing: 6,
+		LinesPerS: 2100, Head: 3, PropagationS: 0.2, WorstS: 0.5,
+		GraceS: 4, BareS: 6, ColdFrom: 0.19, ColdS: 15, FallS: 3, Tip: 2.5, IntervalS: 1, RoundMs: 2, UsualHow: 1, Admission: "rps",
+	}
+	s.PendingMax = max(2*s.LinesPerS, 2*float64(s.Proxies)*(s.Head+1))
+	return s
+}
+
+// restart restarts some servers of each zone. The list tells it in one change.
+func (r *Run) restart(perZone int) {
+	r.do(func() {
+		var restarted []*Endpoint
+		for _, z := range r.site.Zones {
+			n := 0
+			for i := range r.endpoints {
+				e := r.endpoints[len(r.endpoints)-1-i]
+				if e.Zone == z && e.Status == "active" && !e.cold(&r.site, time.Now()) && n < perZone {
+					e.Started = time.Now()
+					restarted = append(restarted, e)
+					n++
+				}
+			}
+		}
+		r.tell(restarted...)
+	})
+}
+
+// queueCase breaks off the news once, while some servers warm up and others have begun to drain.
+func queueCase(r *Run) {
+	r.rule = "queue"
+	r.addServers(38, 0.5)
+	r.begin()
+	r.awaitReady()
+	time.Sleep(4 * time.Second)
+	r.restart(8)
+	time.Sleep(8 * time.Second)
+	r.drain(2)
+	time.Sleep(100 * time.Millisecond)
+	if r.trouble {
+		r.do(func() {
+			for _, in := range r.instances {
+				r.logf("instance %d: the relay breaks off its news", in.index)
+				in.breakNews(false)
+			}
+		})
+	}
+	time.Sleep(10 * time.Second)
+}
+
+// deathsSite has messages that take as long as the page allows.
+func deathsSite(rng *rand.Rand) Site {
+	s := stallSite(rng)
+	s.PropagationS, s.WorstS = 0.35, 0.875
+	return s
+}
