Review case 7: a late event stream hides proxies that left and joined

At a move of the relay with the old news 0.4 s late, proxies that broke and joined again in that time are missed and never get an order again.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
 	echo "build first: the line of deploy/balancer.toml, then review/build-2.sh" >&2
 	exit 2
 fi
-exec ../../bin/review-standin-2 -case deaths -root ../.. -record record.txt
+exec ../../bin/review-standin-2 -case move -root ../.. -record record.txt
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -10,6 +10,7 @@
 func init() {
 	cases["deaths"] = playable{deathsSite, deaths}
 	cases["news"] = playable{galiciaSite, newsBreak}
+	cases["move"] = playable{adressesSite, move}
 	cases["stall"] = playable{oviedoSite, stall}
 }
 
@@ -181,3 +182,58 @@
 	s.PropagationS, s.WorstS = 0.35, 0.875
 	return s
 }
+
+// adressesSite is a deployment like adresses-qc with one assigner.
+func adressesSite(*rand.Rand) Site {
+	return Site{
+		Zones:   []string{"mtl-est", "laval", "longueuil"},
+		Classes: []Class{{Name: "geocode", Share: .42}, {Name: "suggest", Share: .34}, {Name: "new-address", Share: .24}},
+		Proxies: 48, Instances: 1, Rate: 4, Standing: 6,
+		LinesPerS: 4500, Head: 10, PendingMax: 4500, PropagationS: 0.18, WorstS: 0.45,
+		GraceS: 3, BareS: 6, ColdFrom: 0.21, ColdS: 10, FallS: 3, Tip: 3, IntervalS: 1, RoundMs: 2, UsualHow: 1, Admission: "ratio",
+	}
+}
+
+// move moves discovery and the relay while the streams of half of the proxies break and return one by one and the old
+// connection with the news is late. Some servers drain 8 s later. Without the disruption the news is not late; the streams
+// break and the services move all the same.
+func move(r *Run) {
+	r.rule = "drain"
+	r.addServers(7, 0.5)
+	r.begin()
+	r.awaitReady()
+	time.Sleep(3 * time.Second)
+	r.restart(1) // all proxies get tables of their assigner
+	time.Sleep(10 * time.Second)
+	in := r.instances[0]
+	if r.trouble {
+		r.do(func() {
+			r.logf("the connection with the news is late by 0.4 s")
+			for s := range in.streams {
+				s.late = 400 * time.Millisecond
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	moved := time.Now().Add(450 * time.Millisecond)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		time.Sleep(time.Until(moved))
+		in.move()
+	}()
+	order := r.rng.Perm(len(r.proxies))
+	for _, i := range order[:len(order)/2] {
+		p := r.proxies[i]
+		r.do(func() {
+			in.leave(p, time.Now())
+			p.redialAt = time.Now().Add(seconds(0.2 + 0.05*r.rng.Float64()))
+			r.logf("the stream of proxy %d breaks", p.ID)
+		})
+		time.Sleep(25 * time.Millisecond)
+	}
+	<-done
+	time.Sleep(8 * time.Second)
+	r.drain(2)
+	time.Sleep(10 * time.Second)
+}
--- a/review/standin-2/sockets.go
+++ b/review/standin-2/sockets.go
@@ -134,6 +134,7 @@
 	closed chan struct{}
 	once   sync.Once
 	silent bool
+	late   time.Duration // how late the connection brings what is written to it
 }
 
 func (s *stream) close() { s.once.Do(func() { close(s.closed) }) }
@@ -230,10 +231,30 @@
 	}()
 	beat := time.NewTicker(time.Second)
 	defer beat.Stop()
+	// Once the connection is late, one goroutine alone writes, in order, and ends with the connection.
+	queue := make(chan lateText, 20000)
+	written := make(chan struct{})
+	defer func() { close(queue); <-written }()
+	go func() {
+		defer close(written)
+		for t := range queue {
+			select {
+			case <-time.After(time.Until(t.at)):
+			case <-r.Context().Done():
+				return
+			}
+			if _, err := io.WriteString(rw, t.text); err != nil {
+				return
+			}
+			flusher.Flush()
+		}
+	}()
 	for {
 		var text string
+		var late time.Duration
 		select {
 		case text = <-s.out:
+			late = s.lateness(w)
 		case <-beat.C:
 			w.mu.Lock()
 			silent := s.silent
@@ -242,11 +263,16 @@
 				continue
 			}
 			text = ":\n\n"
+			late = s.lateness(w)
 		case <-s.closed:
 			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
+		if late > 0 {
+			queue <- lateText{time.Now().Add(late), text}
+			continue
+		}
 		if _, err := io.WriteString(rw, text); err != nil {
 			return
 		}
@@ -256,6 +282,18 @@
 	}
 }
 
+// lateText is a part of the news that a late connection brings at a time.
+type lateText struct {
+	at   time.Time
+	text string
+}
+
+func (s *stream) lateness(w *World) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return s.late
+}
+
 // breakNews breaks or silences the open news streams.
 func (in *Instance) breakNews(silent bool) {
 	for s := range in.streams {
