--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -103,7 +103,7 @@
 // deaths kills two of four assigners on a calm day, which come back after 8 s. Meanwhile some servers drain.
 func deaths(r *Run) {
 	r.rule = "drain"
-	r.addServers(28, 0.5)
+	r.addServers(28, 0.35)
 	r.begin()
 	r.awaitReady()
 	time.Sleep(8 * time.Second)
@@ -117,7 +117,7 @@
 		}
 	}
 	time.Sleep(4 * time.Second)
-	r.drain(7)
+	r.drain(10)
 	time.Sleep(12 * time.Second)
 }
 
