--- a/review/standin-2/instance.go
+++ b/review/standin-2/instance.go
@@ -101,7 +101,7 @@
 		tables: map[int]*Table{}, bound: map[*Proxy]map[string]int{}, streams: map[*stream]bool{},
 		writes: map[*Proxy][]time.Time{}, current: map[string]entry{}, newList: make(chan struct{}),
 		toldNotReady: map[string]time.Duration{}, toldStart: map[string]time.Time{}, view: map[string]entry{}}
-	in.listen = freeAddress()
+	in.listen = w.listenAddress()
 	in.discAddr, in.relayAddr = in.openDiscovery(), in.openRelay()
 	for _, e := range w.endpoints {
 		in.current[e.Name] = entryOf(e)
@@ -119,16 +119,32 @@
 	return entry{Name: e.Name, Address: "127.0.0.1:9", Zone: e.Zone, Type: "m", Status: e.Status, Weight: e.Weight, SinceMs: since}
 }
 
-// runHost is a loopback address that no run beside this one uses.
-var runHost = fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()>>14&127, os.Getpid()>>7&127, 1+os.Getpid()&127)
+// runHost is a loopback address of the stand-in's servers, and listenHost one of the assigners. No run beside this one
+// uses them.
+var (
+	runHost    = fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()>>14&63, os.Getpid()>>7&127, 1+os.Getpid()&127)
+	listenHost = fmt.Sprintf("127.%d.%d.%d", 80+os.Getpid()>>14&63, os.Getpid()>>7&127, 1+os.Getpid()&127)
+)
 
-func freeAddress() string {
-	l, err := net.Listen("tcp", runHost+":0")
-	if err != nil {
-		fatal("port: %v", err)
+// listenAddress returns a free address for an assigner. It differs from the addresses of the instances before.
+func (w *World) listenAddress() string {
+	for range 100 {
+		l, err := net.Listen("tcp", listenHost+":0")
+		if err != nil {
+			fatal("port: %v", err)
+		}
+		address := l.Addr().String()
+		l.Close()
+		taken := false
+		for _, in := range w.instances {
+			taken = taken || in.listen == address
+		}
+		if !taken {
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	fatal("no free port")
+	return ""
 }
 
 // config writes the configuration file.
