Reads: a deadline that passes in a suspension no longer ends a healthy connection

Cause: read deadlines run on while the process stands still, and the runtime fails the read without looking at the socket. The event stream ended, and its successor made all tables be sent again.

Change: lateread.Read returns what has arrived before it returns the error of a deadline. Invariant: a read deadline ends a read only if the receive buffer is empty at that time; kept in lateread.Read, for all reads of httpconn.Conn and of the report server's clients. Related paths with the same cause, mended with it: responses to calls, long polls, the 1.2 s of an unidentified client, the 2 s of a line.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"madderhollow/internal/lateread"
 )
 
 // ErrUnexpectedStatus is the error for a response whose status is not the status that the caller expects. This package
@@ -33,7 +35,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
 	}
-	return &Conn{Conn: conn, Address: address, reader: bufio.NewReader(conn)}, nil
+	return &Conn{Conn: conn, Address: address, reader: bufio.NewReader(responseReader{conn})}, nil
+}
+
+// responseReader reads responses from a connection. A deadline that passes while the process is suspended ends no read
+// of a response that has arrived.
+type responseReader struct{ conn net.Conn }
+
+// Read reads from the connection. It implements io.Reader.
+func (r responseReader) Read(p []byte) (int, error) {
+	return lateread.Read(r.conn, p) //nolint:wrapcheck // an io.Reader returns the error of the connection unchanged
 }
 
 // CloseOnContextDone arranges for the connection to be closed when the context ends. Requests in progress then fail.
@@ -55,7 +66,8 @@
 }
 
 // Do sends a request and reads the status line and the headers of the response. The caller reads and closes the
-// response body. The timeout bounds the whole exchange, including reading the body.
+// response body. The timeout bounds the whole exchange, including reading the body. Bytes of the response that have
+// arrived are read even after the timeout, because the process may have been suspended.
 //
 // The result sent reports whether the whole request was written. If sent is true and err is not nil, the outcome is
 // unknown: the server may or may not have processed the request.
--- a/internal/relay/eventreader.go
+++ b/internal/relay/eventreader.go
@@ -95,7 +95,7 @@
 	}
 	address, _ := r.address.Current()
 	condition.RecordFailure(err, func(line *zerolog.Event) {
-		line.Str("address", address).Int("proxies", len(r.merger.reportedProxies))
+		line.Str("address", address).Int("proxies", len(r.merger.reportedProxies)).Int("unread_bytes", unreadBytes(err))
 	})
 }
 
--- a/internal/relay/eventstream.go
+++ b/internal/relay/eventstream.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
 	"madderhollow/assign"
 	"madderhollow/internal/httpconn"
+	"madderhollow/internal/lateread"
 	"madderhollow/internal/wire"
 )
 
@@ -38,6 +40,26 @@
 
 func (i *streamItem) isHeartbeat() bool { return i.event == nil && i.decodeErr == nil }
 
+// streamError is the error that ended an open stream.
+type streamError struct {
+	err         error
+	unreadBytes int // bytes that had arrived and were not read when the stream ended; see lateread.UnreadBytes
+}
+
+func (e *streamError) Error() string { return e.err.Error() }
+
+func (e *streamError) Unwrap() error { return e.err }
+
+// unreadBytes returns the number of bytes that had arrived and were not read when a stream ended with the error, or 0
+// if the stream was not open yet. Above 0 after a timeout, the relay was not silent.
+func unreadBytes(err error) int {
+	var ended *streamError
+	if errors.As(err, &ended) {
+		return ended.unreadBytes
+	}
+	return 0
+}
+
 // readStream opens a stream at an address and delivers the items of the stream. It ends when reading fails, when
 // EventReader.receive rejects an item, when deliver returns false or when the context ends. It then closes the
 // connection and returns the error that ended the stream. EventReader.Run passes it to handover.Follow as Source.Open.
@@ -66,7 +88,7 @@
 			return fmt.Errorf("read event stream: set deadline: %w", err)
 		}
 		if err := r.readItem(events, item); err != nil {
-			return err
+			return &streamError{err: err, unreadBytes: lateread.UnreadBytes(conn.Conn)}
 		}
 		if !deliver(item) {
 			return fmt.Errorf("read event stream: %w", ctx.Err())
--- a/internal/reportserver/connections.go
+++ b/internal/reportserver/connections.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"madderhollow/internal/lateread"
 )
 
 const (
@@ -30,6 +32,7 @@
 	lastReadAt     atomic.Int64           // time of the last read from the connection, as Unix time in ns
 	zone           atomic.Pointer[string] // zone of the collector, or nil while the connection is unidentified
 	readingStopped atomic.Bool            // whether stopReading has been called
+	lateReadDone   bool                   // whether Read has read after the deadline while unidentified; used by Read only
 }
 
 func newClientConn(conn net.Conn) *clientConn {
@@ -41,6 +44,18 @@
 // identified reports whether the client has identified itself as a collector.
 func (c *clientConn) identified() bool { return c.zone.Load() != nil }
 
+// Read reads from the connection. Bytes that have arrived are read even after the read deadline, because the process may
+// have been suspended. An unidentified client gets one such read, so that it cannot prolong its deadline by sending
+// without a pause. After a call of stopReading, Read returns the error of the deadline.
+func (c *clientConn) Read(p []byte) (int, error) {
+	if c.readingStopped.Load() || c.lateReadDone && !c.identified() {
+		return c.conn.Read(p) //nolint:wrapcheck // an io.Reader returns the error of the connection unchanged
+	}
+	n, err := lateread.Read(c.conn, p)
+	c.lateReadDone = time.Now().After(c.acceptedAt.Add(identificationTimeout))
+	return n, err //nolint:wrapcheck // an io.Reader returns the error of the connection unchanged
+}
+
 // stopReading makes the current read and all later reads from the connection fail. The session answers the messages
 // that it has already read and then closes the connection.
 func (c *clientConn) stopReading() {
--- a/internal/reportserver/lines.go
+++ b/internal/reportserver/lines.go
@@ -62,7 +62,7 @@
 }
 
 func newLineReader(c *clientConn, budget *byteBudget) *lineReader {
-	return &lineReader{client: c, reader: bufio.NewReaderSize(c.conn, readBufferSize), budget: budget}
+	return &lineReader{client: c, reader: bufio.NewReaderSize(c, readBufferSize), budget: budget}
 }
 
 // readLine blocks until a line is complete and returns it with its newline. The line is valid until the next call of
