Order digests: the model's latencies have the same bits on amd64 and arm64

TestOrdersMatchDigests failed at every run on arm64, on one scenario of 73. Cause: the test model takes latencies from math.Exp, which is assembly on each kind of machine and differs in the last bit. The model now uses math.Expm1, which is plain Go on both.

--- a/assign/model_test.go
+++ b/assign/model_test.go
@@ -337,6 +337,10 @@
 	return weights
 }
 
+// portableExp returns the exponential of x with the same bits on each kind of machine, on which the order digests depend.
+// math.Exp is assembly that differs in the last bit between amd64 and arm64, and math.Expm1 is plain Go on both.
+func portableExp(x float64) float64 { return math.Expm1(x) + 1 }
+
 // randomReports returns random load and traffic reports that cover one second. Attempts at failing or removed endpoints
 // all fail. All other endpoints report the busy fraction busy, on which their latency and failures depend.
 func (m *model) randomReports(busy float64) (reports []Event) {
@@ -346,7 +350,7 @@
 				continue
 			}
 			attempts := 4 + m.random.Intn(6)
-			report := EndpointLoadReport{Zone: zoneByNumber(zone), Endpoint: e.Name, Interval: 1, MeanLatency: 0.3 * math.Exp(busy-0.6),
+			report := EndpointLoadReport{Zone: zoneByNumber(zone), Endpoint: e.Name, Interval: 1, MeanLatency: 0.3 * portableExp(busy-0.6),
 				Attempts: attempts, Failed: int(busy * 2 * m.random.Float64()), Load: []float64{busy}}
 			if e.failing || e.State == Removed {
 				report.Failed, report.MeanLatency, report.Load = attempts, 0, nil
