First tables: three entries each while the channel has no room for whole ones

Cause: the first drain gave each of 78 proxies with default tables two whole tables, urgently: 2,262 lines, for which the channel needs 1.6 s. Evidence: a model that counts lines as the protocol does shows messages leaving without a pause, 33 of 78 after the last time that keeps the limit, the last after 1.597 s; so neither the notice nor the window was late. New counter: messages_reduced.

Change: of a first table three entries of warm endpoints are essential, the others follow in an ordinary message. Invariant: while the channel has no room for all urgent messages, a first table has at most three entries of each group unless it lacks warm endpoints; kept in proxy.essentialEntries.

--- a/assign/assignment/assignment_test.go
+++ b/assign/assignment/assignment_test.go
@@ -181,6 +181,29 @@
 	}
 }
 
+func TestEssentialEntriesOfFirstTable(t *testing.T) {
+	warm := assignment.EntryChange{NewWeight: 1, Ready: true}
+	warming := assignment.EntryChange{NewWeight: 1, Ready: true, Warming: true}
+	for _, test := range []struct {
+		name    string
+		entries []assignment.EntryChange
+		want    []bool
+	}{
+		{"no entries", nil, []bool{}},
+		{"three warm entries", []assignment.EntryChange{warm, warm, warm}, []bool{true, true, true}},
+		{"the first three of four", []assignment.EntryChange{warm, warm, warm, warm}, []bool{true, true, true, false}},
+		{"warming entries follow later", []assignment.EntryChange{warm, warming, warm, warm, warm}, []bool{true, false, true, true, false}},
+		{"too few warm entries", []assignment.EntryChange{warm, warming, warm, warming}, []bool{true, true, true, true}},
+		{"only warming entries", []assignment.EntryChange{warming, warming}, []bool{true, true}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := assignment.EssentialEntriesOfFirstTable(test.entries); !slices.Equal(got, test.want) {
+				t.Errorf("got %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
 func TestNonEmptyAfterEssentialChanges(t *testing.T) {
 	removedDraining := assignment.EntryChange{OldWeight: 1}
 	addedWarm := assignment.EntryChange{NewWeight: 1, Ready: true}
--- a/assign/assignment/changes.go
+++ b/assign/assignment/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"madderhollow/assign/subset"
 )
@@ -72,6 +73,29 @@
 	return warmIncreases || EntryChangeIsUrgent(change)
 }
 
+// essentialFirstEntries is the number of entries of a first table that are essential. Fewer entries would put the load
+// of a proxy on one or two endpoints, any of which may fail.
+const essentialFirstEntries = 3
+
+// EssentialEntriesOfFirstTable reports for each entry of a first table whether it is essential. A guarantee depends on
+// the attachment of the table, not on its size, so a few warm endpoints are essential and the others follow in an
+// ordinary message. The entries are expected in the order in which the table prefers their endpoints. In a table with
+// fewer warm endpoints, all entries are essential, because the rate limits next to warming endpoints assume all of them.
+func EssentialEntriesOfFirstTable(entries []EntryChange) (essential []bool) {
+	essential = make([]bool, len(entries))
+	warm := 0
+	for i, entry := range entries {
+		essential[i] = entry.Ready && !entry.Warming && warm < essentialFirstEntries
+		if essential[i] {
+			warm++
+		}
+	}
+	if warm < essentialFirstEntries {
+		return slices.Repeat([]bool{true}, len(entries))
+	}
+	return essential
+}
+
 // NonEmptyAfterEssentialChanges reports whether a table that holds the given number of entries still has at least one
 // entry after only the essential changes are applied (see EntryChangeIsEssential).
 func NonEmptyAfterEssentialChanges(heldEntries int, changes []EntryChange) bool {
--- a/assign/scheduler.go
+++ b/assign/scheduler.go
@@ -35,6 +35,8 @@
 	// Time before which the scheduler does not try again to send the messages that it deferred, in seconds. Written by
 	// markPending and sendPending.
 	deferredUntil float64
+	// Number of messages that were sent with their essential orders alone. Written by sendPending.
+	reducedMessages int
 }
 
 func newOrderScheduler(config Config) *orderScheduler {
@@ -77,10 +79,12 @@
 	orders          []Order
 	essentialOrders []Order          // orders to keep if the channel has no room for all; see tableOrders
 	attributes      ordering.Message // properties of the message that decide when it is sent
+	reduced         bool             // whether the message lacks orders that are not essential
 }
 
 // keepEssentialOrders removes the orders that are not essential from the message and updates its number of lines.
 func (m *proxyMessage) keepEssentialOrders(messageOverhead float64) {
+	m.reduced = len(m.essentialOrders) < len(m.orders)
 	m.orders = m.essentialOrders
 	m.attributes.Lines = ordering.MessageLines(len(m.orders), messageOverhead)
 }
@@ -106,6 +110,9 @@
 			continue
 		}
 		sent = true
+		if message.reduced {
+			s.reducedMessages++
+		}
 		unacknowledgedLines += message.attributes.Lines
 		assigner.emit(message.orders...)
 		inFlight := inFlightMessage{sequence: sequence, lines: message.attributes.Lines, sentAt: assigner.now}
@@ -164,7 +171,8 @@
 			UrgentSince:   pendingProxy.urgentWait.since,
 			LastMessageAt: pendingProxy.lastMessageAt(),
 		}
-		messages = append(messages, &proxyMessage{pendingProxy, result.orders, result.essentialOrders, attributes})
+		messages = append(messages, &proxyMessage{proxy: pendingProxy, orders: result.orders,
+			essentialOrders: result.essentialOrders, attributes: attributes})
 	}
 	s.pendingProxies = nil
 	slices.SortStableFunc(messages, func(x, y *proxyMessage) int {
--- a/assign/stats.go
+++ b/assign/stats.go
@@ -12,13 +12,20 @@
 	// WaitingProxies is the number of proxies whose message waits for room in the order channel or for the message
 	// limit of the proxy.
 	WaitingProxies int
+	// ReducedMessages is the number of messages since the start that were sent with their essential orders alone,
+	// because the order channel had no room for all urgent messages.
+	ReducedMessages int
 	// DefaultTableProxies is the number of connected proxies without assigned tables.
 	DefaultTableProxies int
 }
 
 // Stats returns the state after the last batch. It reads every record of a proxy.
 func (a *Assigner) Stats() Stats {
-	stats := Stats{WaitingProxies: len(a.scheduler.pendingProxies), LinesInFlight: a.scheduler.linesInFlight(a.proxies)}
+	stats := Stats{
+		WaitingProxies:  len(a.scheduler.pendingProxies),
+		LinesInFlight:   a.scheduler.linesInFlight(a.proxies),
+		ReducedMessages: a.scheduler.reducedMessages,
+	}
 	for _, p := range a.splitMembers() {
 		stats.ObservedRate += p.observedRate()
 	}
--- a/assign/tables.go
+++ b/assign/tables.go
@@ -65,7 +65,7 @@
 }
 
 // addTableOrders adds the orders for the table of one table group. If the proxy has no assigned tables yet, all of
-// these orders are essential.
+// these orders are essential except those for some of the entries.
 func (p *proxy) addTableOrders(assigner *Assigner, group *tableGroup, result *tableOrders) {
 	table := p.tableNumber(assigner, group)
 	desired := p.buildTable(assigner, group)
@@ -81,7 +81,7 @@
 }
 
 // addEntryOrders adds an order for each changed entry in the table of a table group. All of these orders are essential
-// if the proxy has no assigned tables yet, or if the essential orders alone would leave the table empty.
+// if the essential orders alone would leave the table empty.
 func (p *proxy) addEntryOrders(assigner *Assigner, group *tableGroup, desired desiredTable, result *tableOrders) {
 	table := p.tableNumber(assigner, group)
 	held := p.heldTables[group.index]
@@ -95,16 +95,29 @@
 			Warming:   change.Endpoint.warming(assigner),
 		}
 	}
-	allEssential := !p.hasAssignedTables || !assignment.NonEmptyAfterEssentialChanges(len(held), entries)
+	essential := p.essentialEntries(len(held), entries)
 	for i, change := range changes {
 		if assignment.EntryChangeIsUrgent(entries[i]) {
 			result.markUrgent(p.urgentSince(assigner, change.Endpoint))
 		}
-		result.add(SetWeight{table, change.Endpoint.name, change.Weight},
-			allEssential || assignment.EntryChangeIsEssential(entries[i]))
+		result.add(SetWeight{table, change.Endpoint.name, change.Weight}, essential[i])
 	}
 }
 
+// essentialEntries reports for each change of an entry whether it is essential. The parameter heldEntries is the number
+// of entries of the table before the changes.
+func (p *proxy) essentialEntries(heldEntries int, changes []assignment.EntryChange) []bool {
+	if !p.hasAssignedTables {
+		return assignment.EssentialEntriesOfFirstTable(changes)
+	}
+	allEssential := !assignment.NonEmptyAfterEssentialChanges(heldEntries, changes)
+	essential := make([]bool, len(changes))
+	for i, change := range changes {
+		essential[i] = allEssential || assignment.EntryChangeIsEssential(change)
+	}
+	return essential
+}
+
 // urgentSince returns the time in seconds at which the time limit began within which the proxy has to reduce its use of
 // an endpoint. For an endpoint that is not ready, it is the time at which the Assigner learned of this state, or the
 // time at which the proxy connected, whichever is later. For a warming endpoint it is the time of the batch.
--- a/cmd/madderhollow/counters.go
+++ b/cmd/madderhollow/counters.go
@@ -27,6 +27,7 @@
 	LinesInFlight                 int64 `json:"lines_in_flight"`
 	MalformedLines                int64 `json:"malformed_lines"`
 	MaxOrderWaitMs                int64 `json:"max_order_wait_ms"`
+	MessagesReduced               int   `json:"messages_reduced"`
 	ObservedRate                  int64 `json:"observed_rate"`
 	OldestInFlightMs              int64 `json:"oldest_in_flight_ms"`
 	OrdersCoalesced               int   `json:"orders_coalesced"`
@@ -54,6 +55,7 @@
 		LinesInFlight:                 int64(loopStats.Decision.LinesInFlight),
 		MalformedLines:                serverStats.MalformedLines,
 		MaxOrderWaitMs:                queueStats.MaxOrderWait.Milliseconds(),
+		MessagesReduced:               loopStats.Decision.ReducedMessages,
 		ObservedRate:                  int64(loopStats.Decision.ObservedRate),
 		OldestInFlightMs:              int64(loopStats.Decision.OldestInFlight * millisecondsPerSecond),
 		OrdersCoalesced:               queueStats.CoalescedOrders,
@@ -79,6 +81,7 @@
 		Int64("lines_in_flight", c.LinesInFlight).
 		Int64("malformed_lines", c.MalformedLines).
 		Int64("max_order_wait_ms", c.MaxOrderWaitMs).
+		Int("messages_reduced", c.MessagesReduced).
 		Int64("observed_rate", c.ObservedRate).
 		Int64("oldest_in_flight_ms", c.OldestInFlightMs).
 		Int("orders_coalesced", c.OrdersCoalesced).
