Channel: count lines as the protocol does; attach tables that the relay holds as they are

Cause: proxies that were passed on as connected again lost their recorded tables, and each table was built up again while it was in use, at a line an order, and attached at a line an entry. The count had one line an order.

Change: messages are counted by what the protocol charges (ordering.MessageContents). A proxy that connects without a disconnection and holds ordered tables gets them attached as the relay holds them. Invariants: without lost acknowledgments, the lines in flight are those that the protocol counts (proxy.messageContents); a table is cleared only if its proxy cannot be using it (proxy.connect).

--- a/assign/assignment/assignment_test.go
+++ b/assign/assignment/assignment_test.go
@@ -71,6 +71,7 @@
 		{"rate limit", assignment.ProxyState{Connected: true, RateLimited: true}, true, false},
 		{"overloaded zone", assignment.ProxyState{Connected: true, ZoneOverloaded: true}, true, false},
 		{"has assigned tables", assignment.ProxyState{Connected: true, HasAssignedTables: true}, true, false},
+		{"attachment of assigned tables uncertain", assignment.ProxyState{Connected: true, HasAssignedTables: true, Uncertain: true}, true, true},
 		{"has assigned tables, an endpoint drains",
 			assignment.ProxyState{Connected: true, HasAssignedTables: true, DefaultTableNeed: assignment.ReplaceDefaultUrgently}, true, false},
 	} {
--- a/assign/assignment/defaulttable.go
+++ b/assign/assignment/defaulttable.go
@@ -67,6 +67,7 @@
 	Connected         bool            // whether the stream of the proxy, on which it receives messages, is open
 	TablesByShard     bool            // whether tables belong to shards; if so, proxies get no assigned tables
 	HasAssignedTables bool            // whether the proxy already uses assigned tables
+	Uncertain         bool            // whether the proxy may no longer use them, because it may have connected again
 	HasUnknownTables  bool            // whether the proxy's tables may hold endpoints that the assigner does not know
 	RateLimited       bool            // whether the proxy has a rate limit
 	ZoneOverloaded    bool            // whether the proxy's zone is overloaded
@@ -83,8 +84,12 @@
 		proxy.DefaultTableNeed > KeepDefault
 }
 
-// AttachmentIsUrgent reports whether a guarantee (see docs/design.md) depends on the orders that attach the proxy's
-// first assigned tables, which make the proxy use these tables.
+// AttachmentIsUrgent reports whether a guarantee (see docs/design.md) depends on the orders that attach assigned tables,
+// which make the proxy use these tables. If it is uncertain whether the proxy uses its assigned tables, it may use tables
+// of another assigner, whose contents are unknown.
 func AttachmentIsUrgent(proxy ProxyState) bool {
-	return !proxy.HasAssignedTables && (proxy.HasUnknownTables || proxy.DefaultTableNeed == ReplaceDefaultUrgently)
+	if proxy.HasAssignedTables {
+		return proxy.Uncertain
+	}
+	return proxy.HasUnknownTables || proxy.DefaultTableNeed == ReplaceDefaultUrgently
 }
--- a/assign/line_cost_test.go
+++ b/assign/line_cost_test.go
@@ -40,6 +40,13 @@
 	return c.tables[number]
 }
 
+// disconnect ends the use of all tables by a proxy.
+func (c *lineCounter) disconnect(proxy int) {
+	for _, table := range c.tables {
+		delete(table.users, proxy)
+	}
+}
+
 // messageTo returns the message of the batch to a proxy.
 func (c *lineCounter) messageTo(proxy int) *countedMessage {
 	i := slices.IndexFunc(c.messages, func(m *countedMessage) bool { return m.proxy == proxy })
--- a/assign/ordering/ordering_test.go
+++ b/assign/ordering/ordering_test.go
@@ -14,16 +14,19 @@
 func TestMessageLines(t *testing.T) {
 	for _, test := range []struct {
 		name     string
-		orders   int     // number of orders in the message
+		contents ordering.MessageContents
 		overhead float64 // number of lines that the channel itself adds to the message
 		want     float64 // number of lines that the message occupies in the channel
 	}{
-		{"one order", 1, 1, 3},
-		{"many orders, large overhead", 12, 5, 18},
-		{"no overhead", 12, 0, 13},
+		{"one order", ordering.MessageContents{TableOrders: 1}, 1, 3},
+		{"many orders, large overhead", ordering.MessageContents{TableOrders: 12}, 5, 18},
+		{"no overhead", ordering.MessageContents{TableOrders: 12}, 0, 13},
+		{"attachment of an empty table", ordering.MessageContents{Attachments: 1}, 5, 7},
+		{"attachment of a table with lines", ordering.MessageContents{Attachments: 1, AttachedLines: 10}, 5, 17},
+		{"changes and two attachments", ordering.MessageContents{TableOrders: 3, Attachments: 2, AttachedLines: 24}, 6, 36},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			if got := ordering.MessageLines(test.orders, test.overhead); got != test.want {
+			if got := ordering.MessageLines(test.contents, test.overhead); got != test.want {
 				t.Errorf("got %g lines, want %g", got, test.want)
 			}
 		})
--- a/assign/proxy.go
+++ b/assign/proxy.go
@@ -27,6 +27,13 @@
 	sentAt   float64 // time at which the message was sent, in seconds
 }
 
+// heldLimit is the rate limit and the number of retries that an assigned table holds for a request class. Until an order
+// sets them, a class has no rate limit and the configured number of retries.
+type heldLimit struct {
+	assignment.ClassLimit
+	set bool // whether an order set the limit, so that it is a part of the table
+}
+
 // urgentWait records how long urgent orders for a proxy have been waiting to be sent. Orders are urgent if one of the
 // guarantees in docs/design.md depends on them. The zero value means that no urgent orders are waiting.
 type urgentWait struct {
@@ -61,6 +68,9 @@
 	connected bool // whether the stream of the proxy is open; written by connect and disconnect
 	// Whether an order made the proxy use tables of the Assigner. Set by recordSentOrder, cleared by connect.
 	hasAssignedTables bool
+	// Whether the proxy may no longer use its assigned tables, because it may have connected again unnoticed. Set by
+	// connect, cleared by recordSentOrder. Read only if hasAssignedTables is set.
+	attachmentUncertain bool
 
 	// Requests per second that reach the proxy, by the index of their request class. Written by connect,
 	// recordTrafficReport and leaveSplit.
@@ -73,12 +83,11 @@
 	quota     float64 // fraction of the total rate of all proxies; the design page calls it share
 	rateLimit float64 // rate limit in requests per second, 0: none; the design page calls it level
 
-	// The fields heldTables and heldLimits are the tables and limits that the proxy holds, according to the orders that
-	// were sent to it. They are written by recordSentOrder and reset by connect.
+	// The fields heldTables and heldLimits are the contents of the assigned tables at the relay, according to the orders
+	// that were sent. The proxy holds the same while it uses these tables. They are written by recordSentOrder and reset
+	// by forgetTables.
 	heldTables [][]tableEntry // entries of the assigned tables, by the index of their table group
-	// Rate limits and numbers of retries, by the index of their request class. Until an order sets them, a class has no
-	// rate limit and the configured number of retries.
-	heldLimits []assignment.ClassLimit
+	heldLimits []heldLimit    // rate limits and numbers of retries, by the index of their request class
 
 	// How long urgent orders for the proxy have been waiting. Written by orderScheduler.takePendingMessages, and reset
 	// by recordSent and connect.
@@ -144,21 +153,24 @@
 	return p.recentMessageTimes[len(p.recentMessageTimes)-1]
 }
 
-// connect records that the stream of the proxy is open. A proxy that connects has lost its assigned tables and its rate
-// limit. Messages in flight remain recorded: if a proxy connects again without a ProxyDisconnected event in between,
-// its former stream may never have ended. Their acknowledgments may be lost; see ordering.CarriedMessages.
+// connect records that the stream of the proxy is open. A proxy that connects does not use its assigned tables any more.
+//
+// If the proxy connects without a ProxyDisconnected event before, its former stream may never have ended, or its end
+// may have been missed while the event stream was broken. The proxy may then still use its assigned tables, and orders
+// for them cost lines. The contents of the tables at the relay are as before in either case, so it is sufficient to
+// attach them again. Messages in flight remain recorded. Their acknowledgments may be lost; see ordering.CarriedMessages.
 func (p *proxy) connect(assigner *Assigner, event ProxyConnected) {
+	p.attachmentUncertain = p.connected && p.hasAssignedTables && !event.DefaultTablesOnly && p.zone == event.Zone
 	p.connected = true
 	p.connectedAt = assigner.now
 	p.urgentWait = urgentWait{}
 	p.zone = event.Zone
 	p.typicalRate = event.TypicalRate
 	p.lastReportAt = assigner.now
-	p.assignQuota(p.quota, 0)
-	p.hasAssignedTables = false
-	p.heldTables = make([][]tableEntry, len(assigner.tableGroups))
-	unlimited := assignment.ClassLimit{Rate: admission.Unlimited, Retries: assigner.config.Retries}
-	p.heldLimits = slices.Repeat([]assignment.ClassLimit{unlimited}, len(assigner.classes))
+	if !p.attachmentUncertain {
+		p.assignQuota(p.quota, 0)
+		p.forgetTables(assigner)
+	}
 	assigner.getOrCreateZone(p.zone) // creates the record of a zone in which no endpoint was listed
 	p.hasUnknownTables = assignment.UnknownAtConnect(event.DefaultTablesOnly, p.tableSupplies(assigner))
 	// The typical rate of the proxy is used until the proxy reports the rates of its request classes. How the typical
@@ -171,6 +183,14 @@
 	}
 }
 
+// forgetTables resets the recorded tables and limits to those of a proxy without assigned tables.
+func (p *proxy) forgetTables(assigner *Assigner) {
+	p.hasAssignedTables = false
+	p.heldTables = make([][]tableEntry, len(assigner.tableGroups))
+	unlimited := heldLimit{ClassLimit: assignment.ClassLimit{Rate: admission.Unlimited, Retries: assigner.config.Retries}}
+	p.heldLimits = slices.Repeat([]heldLimit{unlimited}, len(assigner.classes))
+}
+
 // tableSupplies returns the endpoints that the zone of the proxy offers for the table of each table group.
 func (p *proxy) tableSupplies(assigner *Assigner) []assignment.ZoneSupply {
 	supplies := make([]assignment.ZoneSupply, len(assigner.tableGroups))
@@ -264,10 +284,67 @@
 				tableEntry{Endpoint: assigner.endpointsByName[order.Endpoint], Weight: order.Weight})
 		}
 	case SetRateLimit:
-		p.heldLimits[order.RequestClasses[0]] = assignment.ClassLimit{Rate: order.Limit, Retries: order.Retries}
+		limit := assignment.ClassLimit{Rate: order.Limit, Retries: order.Retries}
+		p.heldLimits[order.RequestClasses[0]] = heldLimit{ClassLimit: limit, set: true}
 	case AttachTable:
 		p.hasAssignedTables = true
+		p.attachmentUncertain = false
+	}
+}
+
+// messageContents returns the properties of the given orders to the proxy on which the lines of their message depend.
+// The orders are those of tableOrders, or a part of them, and were not sent yet.
+func (p *proxy) messageContents(assigner *Assigner, orders []Order) (contents ordering.MessageContents) {
+	tableLines := p.heldTableLines(assigner)
+	for _, order := range orders {
+		if attachment, ok := order.(AttachTable); ok {
+			contents.Attachments++
+			contents.AttachedLines += tableLines[attachment.Table%len(assigner.tableGroups)]
+			continue
+		}
+		if p.hasAssignedTables {
+			contents.TableOrders++
+		}
+		group, change := p.tableLineChange(assigner, order)
+		tableLines[group] += change
+	}
+	return contents
+}
+
+// tableLineChange returns the index of the table group whose table an order changes, and by how many entries and rate
+// limits the table grows. A ClearTable order precedes the first orders for a table, which holds nothing then.
+func (p *proxy) tableLineChange(assigner *Assigner, order Order) (group, change int) {
+	switch order := order.(type) {
+	case SetWeight:
+		group = order.Table % len(assigner.tableGroups)
+		held := slices.ContainsFunc(p.heldTables[group], func(entry tableEntry) bool { return entry.Endpoint.name == order.Endpoint })
+		switch {
+		case held && order.Weight == 0:
+			change = -1
+		case !held && order.Weight > 0:
+			change = 1
+		}
+	case SetRateLimit:
+		group = order.Table % len(assigner.tableGroups)
+		if !p.heldLimits[order.RequestClasses[0]].set {
+			change = 1
+		}
+	}
+	return group, change
+}
+
+// heldTableLines returns the number of entries and rate limits of each assigned table, by the index of its table group.
+func (p *proxy) heldTableLines(assigner *Assigner) []int {
+	lines := make([]int, len(assigner.tableGroups))
+	for i, group := range assigner.tableGroups {
+		lines[i] = len(p.heldTables[i])
+		for _, class := range group.classIndexes {
+			if p.heldLimits[class].set {
+				lines[i]++
+			}
+		}
 	}
+	return lines
 }
 
 // messageHistory returns the number of recent messages to the proxy and the time of the last message.
--- a/assign/proxy_test.go
+++ b/assign/proxy_test.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"testing"
+
+	"madderhollow/assign/subset"
 )
 
 // newFaultFreeModel returns a model without faults in which all proxies are connected and have only their default
@@ -141,3 +143,48 @@
 		t.Errorf("got rate limits %v, want a limit of at most %g/s for class 0", limits, maxRate)
 	}
 }
+
+// TestReconnectionWithoutDisconnection guards against tables that are sent again although the relay still holds them. A
+// proxy that connects without a disconnection before, as after a break of the event stream, gets its tables attached
+// again and no more than the changes that are due.
+func TestReconnectionWithoutDisconnection(t *testing.T) {
+	for _, test := range []struct {
+		name              string
+		defaultTablesOnly bool
+		disconnected      bool
+		wantClears        int
+	}{
+		{name: "tables may still be attached"},
+		{name: "restarted", defaultTablesOnly: true, wantClears: 2},
+		{name: "disconnected before", disconnected: true, wantClears: 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			channel := newCrowdedChannel(slowChannel(), 3, 36)
+			channel.connect(false, 0, 1, 2)
+			channel.drain(1)
+			channel.run(8)
+			if test.disconnected {
+				channel.disconnect(1)
+			}
+			orders := channel.assigner.Handle(channel.now, []Event{ProxyConnected{
+				Proxy: 1, Zone: zoneByNumber(1), TypicalRate: 6, DefaultTablesOnly: test.defaultTablesOnly,
+			}})
+			var attaches, clears, changes int
+			for _, order := range orders {
+				switch order.(type) {
+				case AttachTable:
+					attaches++
+				case ClearTable:
+					clears++
+				case SetWeight, SetRateLimit:
+					changes++
+				}
+			}
+			wholeTables := changes >= subset.FullTableSize // single changes to balance load may be due
+			if attaches != 2 || clears != test.wantClears || wholeTables != (test.wantClears > 0) {
+				t.Errorf("got %d attachments, %d cleared tables, %d changes; want 2, %d, and whole tables only if cleared",
+					attaches, clears, changes, test.wantClears)
+			}
+		})
+	}
+}
--- a/assign/scheduler.go
+++ b/assign/scheduler.go
@@ -83,10 +83,10 @@
 }
 
 // keepEssentialOrders removes the orders that are not essential from the message and updates its number of lines.
-func (m *proxyMessage) keepEssentialOrders(messageOverhead float64) {
+func (m *proxyMessage) keepEssentialOrders(assigner *Assigner, messageOverhead float64) {
 	m.reduced = len(m.essentialOrders) < len(m.orders)
 	m.orders = m.essentialOrders
-	m.attributes.Lines = ordering.MessageLines(len(m.orders), messageOverhead)
+	m.attributes.Lines = ordering.MessageLines(m.proxy.messageContents(assigner, m.orders), messageOverhead)
 }
 
 // sendPending recomputes all zones and sends the orders of the pending proxies. A proxy remains pending if the channel
@@ -103,7 +103,7 @@
 	congested := ordering.IsCongested(urgentLines(messages), unacknowledgedLines, s.inFlightLimit)
 	for _, message := range messages {
 		if congested && message.attributes.Urgent {
-			message.keepEssentialOrders(s.messageOverhead)
+			message.keepEssentialOrders(assigner, s.messageOverhead)
 		}
 		if !s.admits(assigner, message, unacknowledgedLines) {
 			s.pendingProxies = append(s.pendingProxies, message.proxy)
@@ -166,7 +166,7 @@
 			continue
 		}
 		attributes := ordering.Message{
-			Lines:         ordering.MessageLines(len(result.orders), s.messageOverhead),
+			Lines:         ordering.MessageLines(pendingProxy.messageContents(assigner, result.orders), s.messageOverhead),
 			Urgent:        result.urgent,
 			UrgentSince:   pendingProxy.urgentWait.since,
 			LastMessageAt: pendingProxy.lastMessageAt(),
--- a/assign/tables.go
+++ b/assign/tables.go
@@ -46,6 +46,7 @@
 		Connected:         p.connected,
 		TablesByShard:     assigner.config.ShardCount > 0,
 		HasAssignedTables: p.hasAssignedTables,
+		Uncertain:         p.attachmentUncertain,
 		HasUnknownTables:  p.hasUnknownTables,
 		RateLimited:       p.rateLimit != 0,
 		ZoneOverloaded:    z.overloaded,
@@ -75,7 +76,7 @@
 	}
 	p.addEntryOrders(assigner, group, desired, result)
 	p.addLimitOrders(assigner, group, desired, result)
-	if isFirstTable {
+	if isFirstTable || p.attachmentUncertain {
 		result.add(AttachTable{p.id, table, group.classIndexes}, true)
 	}
 }
@@ -155,7 +156,7 @@
 		})
 		limit := assignment.ClassLimit{Rate: rate, Retries: retries}
 		held := p.heldLimits[class.index]
-		if !slices.Contains(group.classIndexes, class.index) || !assignment.IsSignificantLimitChange(held, limit) {
+		if !slices.Contains(group.classIndexes, class.index) || !assignment.IsSignificantLimitChange(held.ClassLimit, limit) {
 			continue
 		}
 		urgent := assignment.LimitChangeIsUrgent(held.Rate, limit.Rate, desired.Warming)
