Report server: memory for long lines is bounded until they are decoded

Cause: the budget for lines ended at their completion, so any number of complete lines waited for the core; metrics were decoded into a map with an entry for each name.

Change: a line stays in the budget until it is decoded, lines above 4 KiB are decoded one at a time, and load reports into a struct of the configured metrics. Invariant: clients' lines take at most the budget, one decoded line, and 4 KiB lines; kept in lineReader.append, lineReader.completeLine and loadReportDecoder.decode. A line of 1 MiB stays valid.

--- a/internal/reportserver/lines.go
+++ b/internal/reportserver/lines.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -25,6 +24,9 @@
 	identificationTimeout = 1200 * time.Millisecond
 	// readBufferSize is the size of a connection's read buffer, in bytes.
 	readBufferSize = 1024
+	// prefixChunkSize is the size of the pieces of memory that hold the prefix of a line, in bytes. It is a divisor of
+	// maxLineSize.
+	prefixChunkSize = 4 << 10
 )
 
 // Errors of readLine for a line that it skipped. The connection of a collector stays open after such an error, and its
@@ -53,20 +55,35 @@
 // release returns n reserved bytes to the budget.
 func (b *byteBudget) release(n int) { b.usedBytes.Add(-int64(n)) }
 
+// decodingSlot is a lock that a session holds while it decodes a line which is longer than maxUnidentifiedLineSize.
+// Decoding takes a multiple of the size of the line in memory, and the slot limits it to one such line at a time. It
+// also limits the CPU time that long lines take from the other sessions to that of one goroutine.
+type decodingSlot struct{ held chan struct{} }
+
+func newDecodingSlot() decodingSlot { return decodingSlot{make(chan struct{}, 1)} }
+
+// acquire blocks until no other session holds the slot.
+func (s decodingSlot) acquire() { s.held <- struct{}{} }
+
+func (s decodingSlot) release() { <-s.held }
+
 // lineReader splits the bytes received from a client into lines. Only the session's goroutine may use it.
 type lineReader struct {
-	client *clientConn
-	reader *bufio.Reader
-	budget *byteBudget
-	prefix []byte // first bytes of a line that exceeds the read buffer; their number is reserved in the budget
+	client     *clientConn
+	reader     *bufio.Reader
+	budget     *byteBudget
+	slot       decodingSlot
+	holdsSlot  bool     // whether the slot is held for the line that readLine has returned
+	prefix     [][]byte // first bytes of a line that exceeds the read buffer, in chunks of prefixChunkSize bytes
+	prefixSize int      // number of bytes in the prefix; the chunks that hold them are reserved in the budget
 }
 
-func newLineReader(c *clientConn, budget *byteBudget) *lineReader {
-	return &lineReader{client: c, reader: bufio.NewReaderSize(c, readBufferSize), budget: budget}
+func newLineReader(c *clientConn, budget *byteBudget, slot decodingSlot) *lineReader {
+	return &lineReader{client: c, reader: bufio.NewReaderSize(c, readBufferSize), budget: budget, slot: slot}
 }
 
 // readLine blocks until a line is complete and returns it with its newline. The line is valid until the next call of
-// readLine. If readLine returns ErrLineTooLong or ErrLineBudgetExhausted, it has skipped the line, and the next line
+// readLine. The caller must call releaseLine after it has decoded the line, and before it blocks. If readLine returns ErrLineTooLong or ErrLineBudgetExhausted, it has skipped the line, and the next line
 // can be read. An exception is a line of an unidentified connection that is too long: it is not read to its end,
 // because the session then closes the connection. Any other error is a read error of the connection.
 func (l *lineReader) readLine() ([]byte, error) {
@@ -78,7 +95,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if len(l.prefix)+len(part) > l.lineSizeLimit() {
+		if l.prefixSize+len(part) > l.lineSizeLimit() {
 			if !l.client.identified() {
 				return nil, ErrLineTooLong
 			}
@@ -143,28 +160,56 @@
 	return l.client.setReadDeadline(time.Now().Add(lineTimeout))
 }
 
-// completeLine returns the line that ends with the given part. It releases the reserved bytes of the line's prefix.
+// completeLine returns the line that ends with the given part. If the line is long, it blocks until the decoding slot is
+// free. The bytes of the line's prefix remain reserved until then.
 func (l *lineReader) completeLine(part []byte) []byte {
-	if len(l.prefix) == 0 {
+	if l.prefixSize == 0 {
 		return part
 	}
-	line := slices.Concat(l.prefix, part)
+	size := l.prefixSize + len(part)
+	if size > maxUnidentifiedLineSize+len("\n") {
+		l.slot.acquire()
+		l.holdsSlot = true
+	}
+	line := make([]byte, 0, size)
+	for _, chunk := range l.prefix {
+		line = append(line, chunk...)
+	}
 	l.discardPrefix()
-	return line
+	return append(line, part...)
 }
 
-// append appends a part to the line's prefix and reserves its bytes in the budget. It returns false if the budget is
-// exhausted.
+// releaseLine frees the decoding slot if readLine acquired it for the line that it returned last.
+func (l *lineReader) releaseLine() {
+	if l.holdsSlot {
+		l.slot.release()
+		l.holdsSlot = false
+	}
+}
+
+// append appends a part to the line's prefix and reserves the chunks for its bytes in the budget. It returns false if
+// the budget is exhausted.
 func (l *lineReader) append(part []byte) bool {
-	if !l.budget.reserve(len(part)) {
-		return false
+	for len(part) > 0 {
+		last := len(l.prefix) - 1
+		if last < 0 || len(l.prefix[last]) == prefixChunkSize {
+			if !l.budget.reserve(prefixChunkSize) {
+				return false
+			}
+			l.prefix = append(l.prefix, make([]byte, 0, prefixChunkSize))
+			last++
+		}
+		n := min(len(part), prefixChunkSize-len(l.prefix[last]))
+		l.prefix[last] = append(l.prefix[last], part[:n]...)
+		l.prefixSize += n
+		part = part[n:]
 	}
-	l.prefix = append(l.prefix, part...)
 	return true
 }
 
-// discardPrefix discards the line's prefix and releases its reserved bytes.
+// discardPrefix discards the line's prefix and releases the reserved bytes of its chunks.
 func (l *lineReader) discardPrefix() {
-	l.budget.release(len(l.prefix))
+	l.budget.release(len(l.prefix) * prefixChunkSize)
 	l.prefix = nil
+	l.prefixSize = 0
 }
--- a/internal/reportserver/server.go
+++ b/internal/reportserver/server.go
@@ -66,6 +66,7 @@
 	rateLimitedLog zerolog.Logger // logger limited by package loglimit, for events that can occur hundreds of times
 	connections    *connectionSet
 	lineBudget     *byteBudget
+	decodingSlot   decodingSlot
 
 	reports, malformedLines, unidentifiedClosed atomic.Int64
 }
@@ -80,6 +81,7 @@
 		rateLimitedLog: loglimit.New(log),
 		connections:    newConnectionSet(max(1, config.FileDescriptorLimit-reservedFileDescriptors), config.ZoneCount),
 		lineBudget:     &byteBudget{limitBytes: int64(config.MemoryLimitMB) * bytesPerMB / lineMemoryDivisor},
+		decodingSlot:   newDecodingSlot(),
 	}
 }
 
--- a/internal/reportserver/session.go
+++ b/internal/reportserver/session.go
@@ -61,7 +61,7 @@
 }
 
 func newSession(s *Server, c *clientConn) *session {
-	return &session{server: s, client: c, reader: newLineReader(c, s.lineBudget)}
+	return &session{server: s, client: c, reader: newLineReader(c, s.lineBudget, s.decodingSlot)}
 }
 
 // run reads and handles lines until the connection has to be closed. It returns the reason for which the server closes
@@ -87,6 +87,7 @@
 // the connection has to be closed.
 func (s *session) handleLine(ctx context.Context, line []byte) error {
 	message, err := s.decode(line)
+	s.reader.releaseLine()
 	if err != nil {
 		return s.skipMalformedLine(line, err)
 	}
--- a/internal/settings/mappings.go
+++ b/internal/settings/mappings.go
@@ -1,6 +1,10 @@
 package settings
 
-import "madderhollow/assign"
+import (
+	"slices"
+
+	"madderhollow/assign"
+)
 
 // settingMapping connects a setting to the field of assign.Config or assign.RequestClassConfig that it sets. The
 // function set ignores an invalid value.
@@ -105,26 +109,45 @@
 	}
 }
 
+// metricNames holds the protocol names of a metric.
+type metricNames struct {
+	metric assign.LoadMetric
+	names  []string
+}
+
+// standardMetricNames returns the protocol names of each metric with a standard meaning.
+func standardMetricNames() []metricNames {
+	return []metricNames{
+		{assign.MetricBusyFraction, []string{"load_share", "util"}},   // used fraction of the endpoint's capacity
+		{assign.MetricInFlight, []string{"concurrent", "inflight"}},   // number of requests in progress at the endpoint
+		{assign.MetricServiceTime, []string{"mean_ms", "latency_ms"}}, // mean service time in ms
+		{assign.MetricCompletionRate, []string{"tps", "qps"}},         // completed requests per second
+		{assign.MetricErrorRate, []string{"err_ps", "eps"}},           // failed requests per second
+		{assign.MetricQueued, []string{"depth", "queue"}},             // number of requests queued at the endpoint
+	}
+}
+
 // LoadMetric returns the metric with the given protocol name. The protocol has two names for each metric with a
 // standard meaning. Any other name is returned unchanged as the metric's name.
 func LoadMetric(name string) assign.LoadMetric {
-	switch name {
-	case "load_share", "util": // metric: used fraction of the endpoint's capacity
-		return assign.MetricBusyFraction
-	case "concurrent", "inflight": // metric: number of requests in progress at the endpoint
-		return assign.MetricInFlight
-	case "mean_ms", "latency_ms": // metric: mean service time in ms
-		return assign.MetricServiceTime
-	case "tps", "qps": // metric: completed requests per second
-		return assign.MetricCompletionRate
-	case "err_ps", "eps": // metric: failed requests per second
-		return assign.MetricErrorRate
-	case "depth", "queue": // metric: number of requests queued at the endpoint
-		return assign.MetricQueued
+	for _, standard := range standardMetricNames() {
+		if slices.Contains(standard.names, name) {
+			return standard.metric
+		}
 	}
 	return assign.LoadMetric(name)
 }
 
+// LoadMetricNames returns the protocol names of a metric, of which LoadMetric returns the metric.
+func LoadMetricNames(metric assign.LoadMetric) []string {
+	for _, standard := range standardMetricNames() {
+		if standard.metric == metric {
+			return standard.names
+		}
+	}
+	return []string{string(metric)}
+}
+
 // LoadValue converts the value of a load metric from the protocol's unit to the unit of package assign. A service time
 // is converted from milliseconds to seconds; the values of all other metrics are returned unchanged.
 func LoadValue(metric assign.LoadMetric, value float64) float64 {
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -53,20 +53,20 @@
 // Codec decodes and encodes messages. It holds the part of the configuration that messages refer to by name or by
 // position. A Codec is immutable and may be used by several goroutines at once.
 type Codec struct {
-	loadMetrics    []assign.LoadMetric // load metrics of the settings, in the order of the load values in reports
-	requestClasses []string            // names of the request classes, by their positions in the settings
-	zones          []string            // names of the zones; empty in a deployment without zones
-	proxyCount     int                 // proxies are numbered from 0 to proxyCount-1
-	maxMeanLatency float64             // largest valid mean latency in ms; clients give up after the latest deadline
-	maxInterval    float64             // longest valid report interval in ms
-	clockZero      time.Time           // wall-clock time at which the clock of the decision module shows 0
+	loadReports    loadReportDecoder // decoder for the load metrics of the settings
+	requestClasses []string          // names of the request classes, by their positions in the settings
+	zones          []string          // names of the zones; empty in a deployment without zones
+	proxyCount     int               // proxies are numbered from 0 to proxyCount-1
+	maxMeanLatency float64           // largest valid mean latency in ms; clients give up after the latest deadline
+	maxInterval    float64           // longest valid report interval in ms
+	clockZero      time.Time         // wall-clock time at which the clock of the decision module shows 0
 }
 
 // NewCodec returns a codec for a configuration. The parameter clockZero is the wall-clock time at which the clock of
 // the decision module (package assign) shows 0.
 func NewCodec(config assign.Config, clockZero time.Time) *Codec {
 	codec := &Codec{
-		loadMetrics:    config.Reports.LoadMetrics,
+		loadReports:    newLoadReportDecoder(config.Reports.LoadMetrics),
 		zones:          config.Zones,
 		proxyCount:     defaultProxyCount,
 		maxMeanLatency: maxFieldValue,
--- a/internal/wire/reports.go
+++ b/internal/wire/reports.go
@@ -8,7 +8,6 @@
 
 	"madderhollow/assign"
 	"madderhollow/internal/fieldcheck"
-	"madderhollow/internal/settings"
 )
 
 // Message is a message that a client sends to the assigner's address. Its type is Ping, Collector or Report.
@@ -34,10 +33,6 @@
 // EncodeRefused returns the line that a client is sent before the assigner closes its connection, with its line end.
 func EncodeRefused() []byte { return []byte(`{"@type":"` + refusedType + `"}` + "\n") }
 
-// missingMetric is the placeholder for the value of a metric that a load report does not contain. It differs from all
-// valid values, which are not negative.
-const missingMetric = -1
-
 // DecodeMessage decodes one line received at the assigner's address. The error wraps ErrUnknownMessage for an
 // unknown type. For a message of a known type, the error names the first invalid field.
 func (c *Codec) DecodeMessage(line []byte) (Message, error) {
@@ -111,7 +106,7 @@
 		MeanLatency: latency / millisecondsPerSecond,
 		Attempts:    counts.requests,
 		Failed:      counts.failed,
-		Load:        c.decodeLoadReport(fields.Load),
+		Load:        c.loadReports.decode(fields.Load),
 	}
 }
 
@@ -131,38 +126,3 @@
 		Failed:       counts.failed,
 	}
 }
-
-// decodeLoadReport returns the values of a load report in the order of the configured metrics, in the units of package
-// assign. It returns nil if the value of any metric is missing or invalid: a zero in its place would make the endpoint
-// look idle. The other fields of the message remain valid.
-func (c *Codec) decodeLoadReport(data json.RawMessage) []float64 {
-	values := map[string]float64{}
-	if len(data) == 0 || len(c.loadMetrics) == 0 || json.Unmarshal(data, &values) != nil {
-		return nil
-	}
-	loadValues := slices.Repeat([]float64{missingMetric}, len(c.loadMetrics))
-	for name, value := range values {
-		metric := settings.LoadMetric(name)
-		column := slices.Index(c.loadMetrics, metric)
-		if column < 0 {
-			continue
-		}
-		if !fieldcheck.InRange(value, maxLoadMetricValue(metric)) {
-			return nil
-		}
-		loadValues[column] = settings.LoadValue(metric, value)
-	}
-	if slices.Contains(loadValues, missingMetric) {
-		return nil
-	}
-	return loadValues
-}
-
-// maxLoadMetricValue returns the largest valid value of a load metric, in the unit that the protocol uses for the
-// metric.
-func maxLoadMetricValue(metric assign.LoadMetric) float64 {
-	if metric == assign.MetricBusyFraction {
-		return maxBusyFraction
-	}
-	return maxFieldValue
-}
--- a/internal/wire/reports_test.go
+++ b/internal/wire/reports_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 
 	"madderhollow/assign"
@@ -77,3 +78,24 @@
 		test.checkRejected(t, got, err)
 	}
 }
+
+// Guards against lines of many unknown fields that take a multiple of their size in memory.
+func TestUnknownFieldsCostNoAllocation(t *testing.T) {
+	codec := newTestCodec()
+	const format = `{"@type":"heard","locality":"b","endpoint":"s","total":2,"errors":0,"rtt":1,"interval":500%s,"metrics":{"inflight":7,"util":0.5%s}}`
+	allocations := func(unknownFields int) float64 {
+		var fields strings.Builder
+		for i := range unknownFields {
+			fmt.Fprintf(&fields, `,"k%d":1`, i)
+		}
+		line := []byte(fmt.Sprintf(format, fields.String(), fields.String()))
+		return testing.AllocsPerRun(20, func() {
+			if _, err := codec.DecodeMessage(line); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+	if few, many := allocations(1), allocations(10000); many > few+1 {
+		t.Errorf("got %g allocations with 1 unknown field and %g with 10000, want equally many", few, many)
+	}
+}
