Report server: what a client sends decides which collector is evicted

Cause: above the limit, the connection that was silent for the longest time went. A flooding or new client is never silent for long; a collector is, between its reports. Evidence: the log of a flood for zone x names zone y's collector as evicted, with no other cause.

Change: a connection silent for 10 s goes first, then one that sends over 512 KiB/s on average, then one without a valid report; the newest one never. Invariant: a collector with a valid report, no such silence and no such rate is not evicted while another connection breaks one of these; kept in connectionSet.evictExcessCollector.

Red before, green after: TestMemoryStaysWithinLimitInFloods (now with reports and pings of the zones' collectors), TestCollectorWithReportsOutlivesOthers.

--- a/cmd/madderhollow/flood_test.go
+++ b/cmd/madderhollow/flood_test.go
@@ -118,11 +118,17 @@
 	longest  time.Duration // longest time from the dial to an answer
 }
 
-// pingUntil sends pings over new connections until the time end.
-func pingUntil(address string, end time.Time) (results pingResults) {
+// useDuringFlood sends pings over new connections until the time end. Between them, the collector of each zone sends a
+// report. An error of a collector counts as a failure.
+func (p *platform) useDuringFlood(end time.Time) (results pingResults) {
 	for ; time.Now().Before(end); time.Sleep(pingInterval) {
+		for zone, collector := range p.collectors {
+			if err := collector.ReportEndpointLoad("s-0", 10, 0, 20, 0.5); err != nil {
+				results.failures = append(results.failures, fmt.Errorf("collector of zone %s: %w", zone, err))
+			}
+		}
 		start := time.Now()
-		if err := pingOnce(address); err != nil {
+		if err := pingOnce(p.listenAddress); err != nil {
 			results.failures = append(results.failures, err)
 			continue
 		}
@@ -183,7 +189,7 @@
 				defer close(floodEnded)
 				test.flood.run(platform.listenAddress, end)
 			}()
-			pings := pingUntil(platform.listenAddress, end)
+			pings := platform.useDuringFlood(end)
 			<-floodEnded
 			memory := process.largestResidentMemory(t)
 			t.Logf("largest resident memory %d MiB; %d pings answered, after %v at most", memory, pings.answered, pings.longest)
@@ -191,7 +197,12 @@
 				t.Errorf("got %d MiB of resident memory, want at most 192", memory)
 			}
 			if len(pings.failures) > 0 {
-				t.Errorf("got %d failed pings, the first: %v; want none", len(pings.failures), pings.failures[0])
+				t.Errorf("got %d failed pings or reports, the first: %v; want none", len(pings.failures), pings.failures[0])
+			}
+			for zone, collector := range platform.collectors {
+				if err := collector.Ping(testTimeout); err != nil {
+					t.Errorf("collector of zone %s after the flood: %v", zone, err)
+				}
 			}
 		})
 	}
--- a/internal/reportserver/connections.go
+++ b/internal/reportserver/connections.go
@@ -30,6 +30,8 @@
 	conn           net.Conn
 	acceptedAt     time.Time
 	lastReadAt     atomic.Int64           // time of the last read from the connection, as Unix time in ns
+	bytesRead      atomic.Int64           // number of bytes read from the connection
+	reportReceived atomic.Bool            // whether the client has sent a valid report
 	zone           atomic.Pointer[string] // zone of the collector, or nil while the connection is unidentified
 	readingStopped atomic.Bool            // whether stopReading has been called
 	lateReadDone   bool                   // whether Read has read after the deadline while unidentified; used by Read only
@@ -48,6 +50,13 @@
 // have been suspended. An unidentified client gets one such read, so that it cannot prolong its deadline by sending
 // without a pause. After a call of stopReading, Read returns the error of the deadline.
 func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.readSocket(p)
+	c.bytesRead.Add(int64(n))
+	return n, err
+}
+
+// readSocket reads from the socket of the connection as documented for Read.
+func (c *clientConn) readSocket(p []byte) (int, error) {
 	if c.readingStopped.Load() || c.lateReadDone && !c.identified() {
 		return c.conn.Read(p) //nolint:wrapcheck // an io.Reader returns the error of the connection unchanged
 	}
@@ -155,23 +164,81 @@
 	}
 }
 
-// evictExcessCollector evicts the collector connection that has been silent for the longest time if there are more than
-// collectorLimit collector connections.
-func (cs *connectionSet) evictExcessCollector() {
+// evictExcessCollector evicts a collector connection if there are more than collectorLimit of them. The parameter
+// newcomer is the connection that exceeded the limit, which is not evicted. Of the others, it evicts the one with the
+// highest evictionRank.
+func (cs *connectionSet) evictExcessCollector(newcomer *clientConn) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	var longestSilent *clientConn
+	now := time.Now()
+	var evicted *clientConn
+	var highest evictionRank
 	collectors := 0
 	for c := range cs.clients {
 		if !c.identified() || c.readingStopped.Load() {
 			continue
 		}
 		collectors++
-		if longestSilent == nil || c.lastReadAt.Load() < longestSilent.lastReadAt.Load() {
-			longestSilent = c
+		if c == newcomer {
+			continue
 		}
+		if rank := c.evictionRank(now); evicted == nil || rank.exceeds(highest) {
+			evicted, highest = c, rank
+		}
+	}
+	if collectors > cs.collectorLimit && evicted != nil {
+		evicted.stopReading()
 	}
-	if collectors > cs.collectorLimit {
-		longestSilent.stopReading()
+}
+
+// evictionReason is the reason to evict a collector connection, in ascending order of importance.
+type evictionReason int
+
+const (
+	reasonNone      evictionReason = iota // the client sends reports as a collector does
+	reasonNoReport                        // the client has sent no valid report
+	reasonExcessive                       // the client sends more than maxCollectorRate
+	reasonSilent                          // the client has been silent for longer than maxCollectorSilence
+)
+
+const (
+	// maxCollectorRate is the highest mean rate at which a collector sends, in bytes per second. It is several times
+	// the rate of a collector that sends the reports of a large zone.
+	maxCollectorRate = 512 << 10
+	// maxCollectorSilence is the time without a byte after which the connection of a collector counts as broken. A
+	// collector sends reports every second or so while the zone has traffic.
+	maxCollectorSilence = 10 * time.Second
+	// rateStartTime is added to the age of a connection in the calculation of its mean rate, so that the first reports of
+	// a collector, which arrive at once, do not count as excessive.
+	rateStartTime = time.Second
+)
+
+// evictionRank decides which collector connection is evicted: the one with the most important reason, and of these the
+// one that has been silent for the longest time.
+type evictionRank struct {
+	reason  evictionReason
+	silence time.Duration // time since the last read
+}
+
+// exceeds reports whether a connection with this rank is evicted before a connection with another rank.
+func (r evictionRank) exceeds(other evictionRank) bool {
+	if r.reason != other.reason {
+		return r.reason > other.reason
+	}
+	return r.silence > other.silence
+}
+
+// evictionRank returns the rank of a collector connection at a time.
+func (c *clientConn) evictionRank(now time.Time) evictionRank {
+	rank := evictionRank{silence: now.Sub(time.Unix(0, c.lastReadAt.Load()))}
+	connectedFor := now.Sub(c.acceptedAt) + rateStartTime
+	switch {
+	case rank.silence > maxCollectorSilence:
+		rank.reason = reasonSilent
+	case float64(c.bytesRead.Load()) > maxCollectorRate*connectedFor.Seconds():
+		rank.reason = reasonExcessive
+	case !c.reportReceived.Load():
+		rank.reason = reasonNoReport
 	}
+	return rank
 }
--- a/internal/reportserver/connections_test.go
+++ b/internal/reportserver/connections_test.go
@@ -67,6 +67,52 @@
 	}
 }
 
+// Guards against a collector that is evicted while clients that only claim to be collectors stay connected.
+func TestCollectorWithReportsOutlivesOthers(t *testing.T) {
+	address, events, _ := startServer(t, 1000)
+	collector := dialCollector(t, address)
+	mustSendReport(t, collector, 1)
+	nextEvent(t, events)
+	for range 3 * minCollectorLimit {
+		if err := dialCollector(t, address).Ping(testTimeout); err != nil { // shows that the client is identified
+			t.Fatal(err)
+		}
+	}
+	if err := collector.Ping(testTimeout); err != nil {
+		t.Errorf("collector with reports: got no pong: %v", err)
+	}
+}
+
+func TestEvictionRank(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		name       string
+		age        time.Duration // time since the connection was accepted
+		silence    time.Duration // time since the last read
+		bytesRead  int64
+		withReport bool
+		want       evictionReason
+	}{
+		{"reports as a collector", time.Minute, time.Second, 1 << 20, true, reasonNone},
+		{"first reports at once", 0, 0, maxCollectorRate, true, reasonNone},
+		{"no report", time.Second, time.Second, 100, false, reasonNoReport},
+		{"just above the rate", time.Second, 0, 2*maxCollectorRate + 1, true, reasonExcessive},
+		{"above the rate without report", time.Second, 0, 4 * maxCollectorRate, false, reasonExcessive},
+		{"at the limit of silence", time.Minute, maxCollectorSilence, 1 << 20, true, reasonNone},
+		{"beyond the limit of silence", time.Minute, maxCollectorSilence + 1, 1 << 40, false, reasonSilent},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			client := &clientConn{acceptedAt: now.Add(-test.age)}
+			client.lastReadAt.Store(now.Add(-test.silence).UnixNano())
+			client.bytesRead.Store(test.bytesRead)
+			client.reportReceived.Store(test.withReport)
+			if got := client.evictionRank(now).reason; got != test.want {
+				t.Errorf("got reason %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
 // The limit on collector connections grows with the number of zones, so that each zone of a large deployment keeps its
 // collector.
 func TestCollectorsOfManyZonesStayConnected(t *testing.T) {
--- a/internal/reportserver/session.go
+++ b/internal/reportserver/session.go
@@ -51,10 +51,9 @@
 // The state also changes to closed if the client closes its connection or the context ends. In these two cases
 // refuseClient is not called. A connection that a collector closes is logged.
 type session struct {
-	server         *Server
-	client         *clientConn // connection of the client; it also records whether the client is identified
-	reader         *lineReader // splits the bytes received from the client into lines
-	reportReceived bool        // whether the client has sent a valid report
+	server *Server
+	client *clientConn // connection of the client; it also records whether the client is identified
+	reader *lineReader // splits the bytes received from the client into lines
 	// consecutiveMalformedLines is the number of malformed lines since the last report or collector message. A ping does
 	// not reset it.
 	consecutiveMalformedLines int
@@ -148,7 +147,7 @@
 	s.server.malformedLines.Add(1)
 	s.consecutiveMalformedLines++
 	limit := maxMalformedLines
-	if !s.reportReceived {
+	if !s.client.reportReceived.Load() {
 		limit = maxMalformedLinesBeforeReport
 	}
 	tooMany := s.consecutiveMalformedLines >= limit
@@ -168,14 +167,14 @@
 	case wire.Collector:
 		s.consecutiveMalformedLines = 0
 		s.client.zone.Store(&message.Zone)
-		s.server.connections.evictExcessCollector()
+		s.server.connections.evictExcessCollector(s.client)
 		s.server.log.Info().Str("zone", message.Zone).Msg("collector connected")
 	case wire.Report:
 		if !s.client.identified() {
 			return ErrNotIdentified
 		}
 		s.consecutiveMalformedLines = 0
-		s.reportReceived = true
+		s.client.reportReceived.Store(true)
 		s.server.reports.Add(1)
 		return s.server.sink(ctx, message.Event)
 	}
