Report server: a client at full speed no longer displaces the reports of collectors

Pings took up to 0.65 s. Memory did not grow (13 to 14 MiB).

Cause: nothing limits what one client sends, and the full queue of reports drops its oldest. Evidence: reports_lost beside malformed_lines 0 and running batches.

Invariant: half of the queue is left to collectors; kept in session.awaitRoom. Connections above 256 KiB/s (512 before) or younger than a second are evicted before others.

--- a/cmd/madderhollow/assigner.go
+++ b/cmd/madderhollow/assigner.go
@@ -126,6 +126,7 @@
 	a.reportServer = reportserver.New(reportserver.Config{
 		Codec:               a.codec,
 		Sink:                a.eventQueue.PostReport,
+		Crowded:             a.eventQueue.ReportsCrowded,
 		FileDescriptorLimit: a.config.FileDescriptorLimit,
 		ZoneCount:           len(a.config.Settings.Zones),
 		MemoryLimitMB:       a.config.MemoryLimitMB,
--- a/internal/eventqueue/eventqueue.go
+++ b/internal/eventqueue/eventqueue.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// ReportsCrowded reports whether the queue of reports is more than half full. It is safe for concurrent use.
+func (q *Queue) ReportsCrowded() bool { return len(q.reports) > maxQueuedReports/2 }
+
 // Events returns the channel of the events that are not reports. Only the event loop may receive from the channel,
 // which is never closed.
 func (q *Queue) Events() <-chan assign.Event { return q.events }
--- a/internal/eventqueue/eventqueue_test.go
+++ b/internal/eventqueue/eventqueue_test.go
@@ -47,3 +47,18 @@
 		t.Errorf("got error %v, want %v", err, context.Canceled)
 	}
 }
+
+func TestReportsCrowdedAboveHalf(t *testing.T) {
+	queue := New()
+	for i := range maxQueuedReports/2 + 1 {
+		if queue.ReportsCrowded() {
+			t.Fatalf("%d reports: got crowded, want not", i)
+		}
+		if err := queue.PostReport(t.Context(), assign.ProxyTrafficReport{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !queue.ReportsCrowded() {
+		t.Errorf("%d reports: got not crowded, want crowded", maxQueuedReports/2+1)
+	}
+}
--- a/internal/reportserver/connections.go
+++ b/internal/reportserver/connections.go
@@ -196,6 +196,7 @@
 
 const (
 	reasonNone      evictionReason = iota // the client sends reports as a collector does
+	reasonNew                             // the client has been connected for less than minCollectorAge
 	reasonNoReport                        // the client has sent no valid report
 	reasonExcessive                       // the client sends more than maxCollectorRate
 	reasonSilent                          // the client has been silent for longer than maxCollectorSilence
@@ -204,10 +205,13 @@
 const (
 	// maxCollectorRate is the highest mean rate at which a collector sends, in bytes per second. It is several times
 	// the rate of a collector that sends the reports of a large zone.
-	maxCollectorRate = 512 << 10
+	maxCollectorRate = 256 << 10
 	// maxCollectorSilence is the time without a byte after which the connection of a collector counts as broken. A
 	// collector sends reports every second or so while the zone has traffic.
 	maxCollectorSilence = 10 * time.Second
+	// minCollectorAge is the age from which a connection counts as that of a collector. A client that connects again and
+	// again, each time with a new allowance of lines, stays below this age.
+	minCollectorAge = time.Second
 	// rateStartTime is added to the age of a connection in the calculation of its mean rate, so that the first reports of
 	// a collector, which arrive at once, do not count as excessive.
 	rateStartTime = time.Second
@@ -239,6 +243,8 @@
 		rank.reason = reasonExcessive
 	case !c.reportReceived.Load():
 		rank.reason = reasonNoReport
+	case now.Sub(c.acceptedAt) < minCollectorAge:
+		rank.reason = reasonNew
 	}
 	return rank
 }
--- a/internal/reportserver/server.go
+++ b/internal/reportserver/server.go
@@ -42,6 +42,10 @@
 type Config struct {
 	Codec *wire.Codec     // decodes the received lines; required
 	Sink  eventqueue.Sink // receives the reports, may block, and is called by every connection's goroutine; required
+	// Crowded reports whether the sink has little room left. Meanwhile the reports of clients that do not behave as
+	// collectors wait, so that the sink loses no report of a collector; required, and called by every connection's
+	// goroutine.
+	Crowded func() bool
 	// FileDescriptorLimit is the process's limit on open file descriptors; required. The server uses all of them except
 	// reservedFileDescriptors for client connections, and allows at least one connection.
 	FileDescriptorLimit int
@@ -62,6 +66,7 @@
 type Server struct {
 	codec          *wire.Codec
 	sink           eventqueue.Sink
+	crowded        func() bool
 	log            zerolog.Logger
 	rateLimitedLog zerolog.Logger // logger limited by package loglimit, for events that can occur hundreds of times
 	connections    *connectionSet
@@ -77,6 +82,7 @@
 	return &Server{
 		codec:          config.Codec,
 		sink:           config.Sink,
+		crowded:        config.Crowded,
 		log:            log,
 		rateLimitedLog: loglimit.New(log),
 		connections:    newConnectionSet(max(1, config.FileDescriptorLimit-reservedFileDescriptors), config.ZoneCount),
--- a/internal/reportserver/session.go
+++ b/internal/reportserver/session.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"madderhollow/assign"
+	"madderhollow/internal/backoff"
 	"madderhollow/internal/wire"
 )
 
@@ -51,23 +52,33 @@
 // The state also changes to closed if the client closes its connection or the context ends. In these two cases
 // refuseClient is not called. A connection that a collector closes is logged.
 type session struct {
-	server *Server
-	client *clientConn // connection of the client; it also records whether the client is identified
-	reader *lineReader // splits the bytes received from the client into lines
+	server         *Server
+	client         *clientConn // connection of the client; it also records whether the client is identified
+	reader         *lineReader // splits the bytes received from the client into lines
+	lines          tokenBucket // limits the rate at which lines are read
+	crowdedReports tokenBucket // limits the reports that are passed to a crowded sink
 	// consecutiveMalformedLines is the number of malformed lines since the last report or collector message. A ping does
 	// not reset it.
 	consecutiveMalformedLines int
 }
 
 func newSession(s *Server, c *clientConn) *session {
-	return &session{server: s, client: c, reader: newLineReader(c, s.lineBudget, s.decodingSlot)}
+	return &session{
+		server:         s,
+		client:         c,
+		reader:         newLineReader(c, s.lineBudget, s.decodingSlot),
+		lines:          newTokenBucket(maxLineRate, maxLineBurst, c.acceptedAt),
+		crowdedReports: newTokenBucket(crowdedReportRate, crowdedReportBurst, c.acceptedAt),
+	}
 }
 
 // run reads and handles lines until the connection has to be closed. It returns the reason for which the server closes
 // the connection, or nil if the client closed it.
 func (s *session) run(ctx context.Context) error {
 	for {
+		bytesBefore := s.client.bytesRead.Load()
 		line, err := s.reader.readLine()
+		size := int(s.client.bytesRead.Load() - bytesBefore)
 		switch {
 		case err == nil:
 			err = s.handleLine(ctx, line)
@@ -79,6 +90,9 @@
 		if err != nil {
 			return err
 		}
+		if pause := s.lines.take(time.Now(), lineTokens(size)); pause > 0 {
+			backoff.Sleep(ctx, pause)
+		}
 	}
 }
 
@@ -176,11 +190,24 @@
 		s.consecutiveMalformedLines = 0
 		s.client.reportReceived.Store(true)
 		s.server.reports.Add(1)
+		s.awaitRoom(ctx)
 		return s.server.sink(ctx, message.Event)
 	}
 	return nil
 }
 
+// awaitRoom blocks while the sink is crowded, unless the client behaves as a collector and sends no more reports than
+// collectors do. It returns early if the context ends.
+func (s *session) awaitRoom(ctx context.Context) {
+	withinAllowance := s.crowdedReports.take(time.Now(), 1) == 0
+	for s.server.crowded() && ctx.Err() == nil {
+		if withinAllowance && s.client.evictionRank(time.Now()).reason == reasonNone {
+			return
+		}
+		backoff.Sleep(ctx, minPause)
+	}
+}
+
 // write sends a line to the client. It blocks for at most writeTimeout plus writeRetryTimeout and returns an error if
 // the write fails. After a timeout it tries once more to send the rest of the line, because the deadline may have passed
 // while the process was suspended and could not write.
