Relay tests: set the heartbeat interval before the event reader starts

The event reader could open its stream before the test set the interval of an hour, and kept heartbeats of a second, so that the stream never fell silent.

--- a/internal/relay/eventreader_test.go
+++ b/internal/relay/eventreader_test.go
@@ -22,8 +22,7 @@
 // its default tables.
 func TestEventReaderResyncsAfterBreak(t *testing.T) {
 	t.Parallel()
-	setup := startHarness(t)
-	setup.SetHeartbeatInterval(20 * time.Millisecond)
+	setup := startHarnessWithHeartbeats(t, 20*time.Millisecond)
 	setup.connectProxies(3)
 	setup.queue.Submit([]assign.Order{
 		assign.SetWeight{Table: 5, Endpoint: "t", Weight: 1},
@@ -53,8 +52,7 @@
 // event is skipped, because it would otherwise end each further stream.
 func TestEventReaderSkipsUndecodableEventOfSnapshot(t *testing.T) {
 	t.Parallel()
-	setup := startHarness(t)
-	setup.SetHeartbeatInterval(20 * time.Millisecond)
+	setup := startHarnessWithHeartbeats(t, 20*time.Millisecond)
 	setup.connectProxies(2)
 	setup.Inspect(func(state *relaytest.State) { state.Proxies[1].Zone = "nowhere" })
 	setup.AbortStreams(malformedEvent)
@@ -76,8 +74,7 @@
 // one.
 func TestEventReaderReopensSilentStream(t *testing.T) {
 	t.Parallel()
-	setup := startHarness(t)
-	setup.SetHeartbeatInterval(time.Hour)
+	setup := startHarnessWithHeartbeats(t, time.Hour)
 	setup.connectProxies(1)
 	want := []assign.Event{assign.ProxyConnected{Proxy: 0, Zone: "a", TypicalRate: 2, DefaultTablesOnly: true}}
 	if got := setup.takeEvents(1); !reflect.DeepEqual(got, want) {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -65,11 +65,22 @@
 // newHarness starts a harness, whose order client and event reader use the given seed and logger. The caller must stop
 // the harness.
 func newHarness(t *testing.T, seed int64, log zerolog.Logger) *harness {
+	t.Helper()
+	return newHarnessOf(newRelay(t), seed, log)
+}
+
+// newRelay starts a fake relay.
+func newRelay(t *testing.T) *relaytest.Relay {
 	t.Helper()
 	relay, err := relaytest.New("", "read", "sign")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return relay
+}
+
+// newHarnessOf is like newHarness, but takes the fake relay, which the harness closes when it is stopped.
+func newHarnessOf(relay *relaytest.Relay, seed int64, log zerolog.Logger) *harness {
 	setup := &harness{
 		Relay:   relay,
 		address: handover.NewAddress(relay.Address()),
@@ -97,6 +108,17 @@
 	return setup
 }
 
+// startHarnessWithHeartbeats is like startHarness, but sets the heartbeat interval of the relay before the event reader
+// opens its first stream.
+func startHarnessWithHeartbeats(t *testing.T, interval time.Duration) *harness {
+	t.Helper()
+	relay := newRelay(t)
+	relay.SetHeartbeatInterval(interval)
+	setup := newHarnessOf(relay, 1, zerolog.Nop())
+	t.Cleanup(func() { setup.stop(t) })
+	return setup
+}
+
 // startLoggingHarness starts a harness that is stopped at the end of the test. It returns the harness and the recorder
 // of its log.
 func startLoggingHarness(t *testing.T) (*harness, *logtest.Recorder) {
