--- a/assign/assignment/changes.go
+++ b/assign/assignment/changes.go
@@ -80,7 +80,7 @@
 // EssentialEntriesOfFirstTable reports for each entry of a first table whether it is essential. A guarantee depends on
 // the attachment of the table, not on its size, so a few warm endpoints are essential and the others follow in an
 // ordinary message. The entries are expected in the order in which the table prefers their endpoints. In a table with
-// fewer warm endpoints, all entries are essential, because the rate limits next to warming endpoints assume all of them.
+// fewer warm endpoints, all entries are essential, because the rate limits next to warming endpoints assume them all.
 func EssentialEntriesOfFirstTable(entries []EntryChange) (essential []bool) {
 	essential = make([]bool, len(entries))
 	warm := 0
--- a/assign/assignment/defaulttable.go
+++ b/assign/assignment/defaulttable.go
@@ -84,9 +84,9 @@
 		proxy.DefaultTableNeed > KeepDefault
 }
 
-// AttachmentIsUrgent reports whether a guarantee (see docs/design.md) depends on the orders that attach assigned tables,
-// which make the proxy use these tables. If it is uncertain whether the proxy uses its assigned tables, it may use tables
-// of another assigner, whose contents are unknown.
+// AttachmentIsUrgent reports whether a guarantee (see docs/design.md) depends on the orders that attach assigned
+// tables, which make the proxy use these tables. If it is uncertain whether the proxy uses its assigned tables, it may
+// use tables of another assigner, whose contents are unknown.
 func AttachmentIsUrgent(proxy ProxyState) bool {
 	if proxy.HasAssignedTables {
 		return proxy.Uncertain
--- a/assign/line_cost_test.go
+++ b/assign/line_cost_test.go
@@ -18,7 +18,7 @@
 type lineCounter struct {
 	tables   map[int]*countedTable // tables by number
 	messages []*countedMessage     // messages of the batch, in the order in which their proxies occur first
-	overhead float64               // number of lines that each message costs beside its orders
+	overhead float64               // number of lines that each message costs in addition to its orders
 }
 
 // countedMessage is the message to one proxy that results from a batch of orders.
--- a/assign/ordering/ordering.go
+++ b/assign/ordering/ordering.go
@@ -69,16 +69,16 @@
 
 // MessageContents contains the properties of a message's orders on which its lines depend.
 type MessageContents struct {
-	// TableOrders is the number of orders that change a table which the proxy uses or may use. Each of them costs a line,
-	// even if it changes nothing. An order for a table that the proxy does not use costs no line.
+	// TableOrders is the number of orders that change a table which the proxy uses or may use. Each of them costs a
+	// line, even if it changes nothing. An order for a table that the proxy does not use costs no line.
 	TableOrders int
 	Attachments int // number of orders that make the proxy use a table, each of which costs a line
 	// AttachedLines is the number of entries and rate limits of the attached tables. Each of them costs a line.
 	AttachedLines int
 }
 
-// MessageLines returns the number of lines that a message with the given contents occupies in the channel. The parameter
-// overheadLines is the number of lines that the channel itself adds to each message.
+// MessageLines returns the number of lines that a message with the given contents occupies in the channel. The
+// parameter overheadLines is the number of lines that the channel itself adds to each message.
 func MessageLines(contents MessageContents, overheadLines float64) float64 {
 	orderLines := contents.TableOrders + contents.Attachments + contents.AttachedLines
 	return float64(orderLines) + overheadLines + acknowledgmentRequestLines
--- a/assign/proxy.go
+++ b/assign/proxy.go
@@ -27,8 +27,8 @@
 	sentAt   float64 // time at which the message was sent, in seconds
 }
 
-// heldLimit is the rate limit and the number of retries that an assigned table holds for a request class. Until an order
-// sets them, a class has no rate limit and the configured number of retries.
+// heldLimit is the rate limit and the number of retries that an assigned table holds for a request class. Until an
+// order sets them, a class has no rate limit and the configured number of retries.
 type heldLimit struct {
 	assignment.ClassLimit
 	set bool // whether an order set the limit, so that it is a part of the table
@@ -89,6 +89,10 @@
 	heldTables [][]tableEntry // entries of the assigned tables, by the index of their table group
 	heldLimits []heldLimit    // rate limits and numbers of retries, by the index of their request class
 
+	// Whether the proxy is one of orderScheduler.pendingProxies. Written by the methods of orderScheduler that change
+	// these.
+	pending bool
+
 	// How long urgent orders for the proxy have been waiting. Written by orderScheduler.takePendingMessages, and reset
 	// by recordSent and connect.
 	urgentWait urgentWait
@@ -153,12 +157,13 @@
 	return p.recentMessageTimes[len(p.recentMessageTimes)-1]
 }
 
-// connect records that the stream of the proxy is open. A proxy that connects does not use its assigned tables any more.
+// connect records that the stream of the proxy is open. A proxy that connects has lost its assigned tables.
 //
 // If the proxy connects without a ProxyDisconnected event before, its former stream may never have ended, or its end
 // may have been missed while the event stream was broken. The proxy may then still use its assigned tables, and orders
 // for them cost lines. The contents of the tables at the relay are as before in either case, so it is sufficient to
-// attach them again. Messages in flight remain recorded. Their acknowledgments may be lost; see ordering.CarriedMessages.
+// attach them again. Messages in flight remain recorded. Their acknowledgments may be lost, see
+// ordering.CarriedMessages.
 func (p *proxy) connect(assigner *Assigner, event ProxyConnected) {
 	p.attachmentUncertain = p.connected && p.hasAssignedTables && !event.DefaultTablesOnly && p.zone == event.Zone
 	p.connected = true
@@ -317,7 +322,9 @@
 	switch order := order.(type) {
 	case SetWeight:
 		group = order.Table % len(assigner.tableGroups)
-		held := slices.ContainsFunc(p.heldTables[group], func(entry tableEntry) bool { return entry.Endpoint.name == order.Endpoint })
+		held := slices.ContainsFunc(p.heldTables[group], func(entry tableEntry) bool {
+			return entry.Endpoint.name == order.Endpoint
+		})
 		switch {
 		case held && order.Weight == 0:
 			change = -1
--- a/assign/scheduler.go
+++ b/assign/scheduler.go
@@ -62,7 +62,18 @@
 	s.deferredUntil = 0
 	if p == nil {
 		s.pendingProxies = slices.Clone(assigner.proxies)
-	} else if !slices.Contains(s.pendingProxies, p) {
+		for _, pending := range s.pendingProxies {
+			pending.pending = true
+		}
+		return
+	}
+	s.addPending(p)
+}
+
+// addPending adds a proxy to the pending proxies unless it is one of them already.
+func (s *orderScheduler) addPending(p *proxy) {
+	if !p.pending {
+		p.pending = true
 		s.pendingProxies = append(s.pendingProxies, p)
 	}
 }
@@ -106,7 +117,7 @@
 			message.keepEssentialOrders(assigner, s.messageOverhead)
 		}
 		if !s.admits(assigner, message, unacknowledgedLines) {
-			s.pendingProxies = append(s.pendingProxies, message.proxy)
+			s.addPending(message.proxy)
 			continue
 		}
 		sent = true
@@ -160,6 +171,7 @@
 // because each table that is built adds to the load in the table plan of its zone.
 func (s *orderScheduler) takePendingMessages(assigner *Assigner) (messages []*proxyMessage) {
 	for _, pendingProxy := range s.pendingProxies {
+		pendingProxy.pending = false
 		result := pendingProxy.tableOrders(assigner)
 		pendingProxy.urgentWait = pendingProxy.urgentWait.update(result)
 		if len(result.orders) == 0 {
--- a/internal/lateread/lateread.go
+++ b/internal/lateread/lateread.go
@@ -47,8 +47,8 @@
 // errNotSocket reports that a connection gives no access to its socket.
 var errNotSocket = errors.New("connection has no socket")
 
-// receive copies bytes that have arrived on a connection to a buffer, whatever the read deadline of the connection is. It does
-// not block: it returns an error that wraps syscall.EAGAIN if there are none. The parameter flags is passed to the
+// receive copies bytes that have arrived on a connection to a buffer, whatever the read deadline of the connection is.
+// It does not block: it returns an error that wraps syscall.EAGAIN if there are none. The parameter flags is passed to the
 // system call recvfrom. The error is io.EOF at the end of the stream.
 func receive(conn net.Conn, buffer []byte, flags int) (n int, err error) {
 	syscallConn, ok := conn.(syscall.Conn)
--- a/internal/orderqueue/pending.go
+++ b/internal/orderqueue/pending.go
@@ -91,7 +91,13 @@
 
 func newPendingOrder(order assign.Order, encoded string) *pendingOrder {
 	escapedSize := len(url.QueryEscape(encoded)) + len(escapedOrderSeparator)
-	return &pendingOrder{order: order, encoded: encoded, escapedSize: escapedSize, ambiguousSequence: noSequence, submittedAt: time.Now()}
+	return &pendingOrder{
+		order:             order,
+		encoded:           encoded,
+		escapedSize:       escapedSize,
+		ambiguousSequence: noSequence,
+		submittedAt:       time.Now(),
+	}
 }
 
 // attachment returns the order as an assign.AttachTable. It returns false if the order has another type.
--- a/internal/orderqueue/queue.go
+++ b/internal/orderqueue/queue.go
@@ -82,8 +82,14 @@
 func (q *Queue) Stats() Stats {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return Stats{ConnectedProxies: len(q.proxies.connectedProxies), TakenCalls: q.takenCalls, RepeatedCalls: q.repeatedCalls, CoalescedOrders: q.pending.coalescedOrders,
-		PendingOrders: q.pending.count(), MaxOrderWait: q.maxOrderWait}
+	return Stats{
+		ConnectedProxies: len(q.proxies.connectedProxies),
+		TakenCalls:       q.takenCalls,
+		RepeatedCalls:    q.repeatedCalls,
+		CoalescedOrders:  q.pending.coalescedOrders,
+		PendingOrders:    q.pending.count(),
+		MaxOrderWait:     q.maxOrderWait,
+	}
 }
 
 // PreprocessEvents updates the state of the queue from a batch of events, and returns the events that the decision
