Relay: a replaced event stream is read on, so that late events are not missed

Evidence: with the fake relay's old stream 0.3 s late nothing is reported, although both streams deliver heartbeats.

Change: a replaced stream is read on until it ends, at most 2 s (handover.Source.ReceiveLate). Invariant: a proxy whose disconnection either stream delivers before it ends is passed on as disconnected; kept in streamMerger.receiveLate.

--- a/internal/handover/follow.go
+++ b/internal/handover/follow.go
@@ -7,9 +7,13 @@
 	"madderhollow/internal/backoff"
 )
 
-// Source describes how Follow opens a stream and handles the items of the stream. All functions must be set. Receive
-// and Failed are called by the goroutine that runs Follow, never concurrently. While one of these two functions
-// blocks, no stream makes progress.
+// maxLateTime is the longest time for which a replaced stream stays open. The platform closes the connections at an old
+// address 1.5 s after the change of the address.
+const maxLateTime = 2 * time.Second
+
+// Source describes how Follow opens a stream and handles the items of the stream. All functions except ReceiveLate must
+// be set. Receive, ReceiveLate and Failed are called by the goroutine that runs Follow, never concurrently. While one of
+// these functions blocks, no stream makes progress.
 type Source[T any] struct {
 	// Open opens a stream at an address and reads items until reading fails or the context ends. It returns the error
 	// that ended the stream. Each call of Open runs in a goroutine of its own, and two calls may run at the same time.
@@ -25,6 +29,10 @@
 	// Receive reports whether the new stream is ready to replace the old stream. The result is ignored if
 	// duringHandover is false.
 	Receive func(item T, duringHandover bool) (ready bool)
+	// ReceiveLate handles an item that an old stream delivers after a new stream has replaced it. If it is set, the old
+	// stream stays open until it ends, but at most for maxLateTime or until the next stream is replaced. Otherwise the
+	// old stream is closed when it is replaced.
+	ReceiveLate func(item T)
 	// Failed handles the error with which Open has returned. It is not called for a stream that Follow has closed. The
 	// context of Follow may have ended before the call. The argument duringHandover is true if the stream was the new
 	// stream of a handover, in which case the old stream continues.
@@ -76,8 +84,9 @@
 	}
 }
 
-// streamManager manages the streams of one source: the active stream and the pending stream, which is to replace the
-// active stream. Its state depends on which of the two streams are open:
+// streamManager manages the streams of one source: the active stream, the pending stream, which is to replace the
+// active stream, and the late stream, which was replaced and does not influence the others. The state of the manager
+// depends on which of the first two streams are open:
 //
 //	idle      No stream is open. The manager waits for the end of the backoff.
 //	opening   Only the pending stream is open. It becomes the active stream at its first item, even if it is not ready.
@@ -103,9 +112,11 @@
 	source        Source[T]
 	address       *Address
 	retryBackoff  *backoff.Backoff
-	activeStream  *stream[T] // stream in use, or nil if there is none
-	pendingStream *stream[T] // stream that is to replace the active stream, or nil if there is none
-	inBackoff     bool       // whether to open no stream until backoffTimer fires or the address changes
+	activeStream  *stream[T]  // stream in use, or nil if there is none
+	pendingStream *stream[T]  // stream that is to replace the active stream, or nil if there is none
+	lateStream    *stream[T]  // stream that was replaced and still delivers items, or nil if there is none
+	lateTimer     *time.Timer // timer that ends lateStream
+	inBackoff     bool        // whether to open no stream until backoffTimer fires or the address changes
 	backoffTimer  *time.Timer
 }
 
@@ -115,7 +126,13 @@
 // other goroutine may use retryBackoff while Follow runs.
 func Follow[T any](ctx context.Context, address *Address, retryBackoff *backoff.Backoff, source Source[T]) {
 	backoffTimer := time.NewTimer(0) // the timer fires at once, without effect, because no backoff has begun
-	m := &streamManager[T]{source: source, address: address, retryBackoff: retryBackoff, backoffTimer: backoffTimer}
+	m := &streamManager[T]{
+		source:       source,
+		address:      address,
+		retryBackoff: retryBackoff,
+		backoffTimer: backoffTimer,
+		lateTimer:    time.NewTimer(maxLateTime), // has no effect before the first stream is replaced
+	}
 	defer m.stop()
 	for ctx.Err() == nil {
 		addressChanged := m.openPendingIfNeeded(ctx)
@@ -126,8 +143,10 @@
 // stop closes all streams and stops the backoff timer.
 func (m *streamManager[T]) stop() {
 	m.backoffTimer.Stop()
+	m.lateTimer.Stop()
 	m.activeStream.close()
 	m.pendingStream.close()
+	m.lateStream.close()
 }
 
 // openPendingIfNeeded closes the pending stream if its address is outdated. It opens a pending stream if none is open,
@@ -150,15 +169,27 @@
 // event. The channel addressChanged is closed when the address changes.
 func (m *streamManager[T]) handleEvent(ctx context.Context, addressChanged <-chan struct{}) {
 	var noStream stream[T] // noStream stands for a stream that is not open; its channels are nil and block forever
-	active, pending := &noStream, &noStream
+	active, pending, late := &noStream, &noStream, &noStream
 	if m.activeStream != nil {
 		active = m.activeStream
 	}
 	if m.pendingStream != nil {
 		pending = m.pendingStream
 	}
+	if m.lateStream != nil {
+		late = m.lateStream
+	}
 	select {
 	case <-ctx.Done():
+	case item := <-late.items:
+		m.source.ReceiveLate(item)
+		late.handled <- struct{}{}
+	case <-late.openResult: //nolint:errcheck // the end of a replaced stream is expected
+		m.lateStream.cancel() // Open has already returned, so cancel only releases the context
+		m.lateStream = nil
+	case <-m.lateTimer.C:
+		m.lateStream.close()
+		m.lateStream = nil
 	case <-addressChanged:
 		m.inBackoff = false
 	case <-m.backoffTimer.C:
@@ -181,11 +212,22 @@
 	ready := m.source.Receive(item, m.activeStream != nil)
 	m.pendingStream.handled <- struct{}{}
 	if ready || m.activeStream == nil {
-		m.activeStream.close()
+		m.replace(m.activeStream)
 		m.activeStream, m.pendingStream = m.pendingStream, nil
 	}
 }
 
+// replace ends a stream that was replaced, or makes it the late stream. It does nothing if the stream is nil.
+func (m *streamManager[T]) replace(old *stream[T]) {
+	if old == nil || m.source.ReceiveLate == nil {
+		old.close()
+		return
+	}
+	m.lateStream.close()
+	m.lateStream = old
+	m.lateTimer.Reset(maxLateTime)
+}
+
 // handleActiveEnd reports the end of the active stream to Source.Failed. If no pending stream is open, a stream is
 // opened after the shortest delay.
 func (m *streamManager[T]) handleActiveEnd(err error) {
--- a/internal/handover/follow_test.go
+++ b/internal/handover/follow_test.go
@@ -62,16 +62,24 @@
 	address  *Address
 	opened   chan *testStream // channel of the streams, in the order in which Source.Open was called
 	received chan receiveCall // channel of the calls of Source.Receive
+	late     chan string      // channel of the items of the calls of Source.ReceiveLate
 	failed   chan failedCall  // channel of the calls of Source.Failed
 }
 
-// startHarness starts Follow at address "a". Follow ends with the test.
+// startHarness starts Follow at address "a", with a source that does not set ReceiveLate. Follow ends with the test.
 func startHarness(t *testing.T) *harness {
+	t.Helper()
+	return startHarnessWith(t, false)
+}
+
+// startHarnessWith is like startHarness, but the source sets ReceiveLate if the parameter receivesLate is set.
+func startHarnessWith(t *testing.T, receivesLate bool) *harness {
 	t.Helper()
 	setup := &harness{
 		address:  NewAddress("a"),
 		opened:   make(chan *testStream, 100),
 		received: make(chan receiveCall, 100),
+		late:     make(chan string, 100),
 		failed:   make(chan failedCall, 100),
 	}
 	source := Source[string]{
@@ -86,6 +94,9 @@
 		},
 		Failed: func(err error, duringHandover bool) { setup.failed <- failedCall{err, duringHandover} },
 	}
+	if receivesLate {
+		source.ReceiveLate = func(item string) { setup.late <- item }
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { // the goroutine ends when the cleanup function cancels ctx
@@ -287,3 +298,42 @@
 		break
 	}
 }
+
+// A source that sets ReceiveLate gets the items of a replaced stream until that stream ends or the next one is replaced.
+func TestFollowDeliversItemsOfReplacedStream(t *testing.T) {
+	t.Parallel()
+	setup := startHarnessWith(t, true)
+	first := setup.mustOpen(t, "a")
+	setup.mustReceive(t, first, "item", false)
+	setup.address.Set("b")
+	second := setup.mustOpen(t, "b")
+	setup.mustReceive(t, second, readyItem, true)
+	send(t, first.items, "late item")
+	if got := await(t, setup.late, "an item of the replaced stream"); got != "late item" {
+		t.Errorf("got item %q, want %q", got, "late item")
+	}
+	send(t, first.fail, errBroken)
+	setup.mustReceive(t, second, "item", false)
+	setup.address.Set("c")
+	third := setup.mustOpen(t, "c")
+	setup.mustReceive(t, third, readyItem, true)
+	setup.address.Set("d")
+	fourth := setup.mustOpen(t, "d")
+	setup.mustReceive(t, fourth, readyItem, true)
+	await(t, second.closed, "the end of a replaced stream after the next one was replaced")
+	if len(setup.failed) > 0 {
+		t.Errorf("got failure %+v, want none for a replaced stream", <-setup.failed)
+	}
+}
+
+// A replaced stream that does not end by itself is closed.
+func TestFollowClosesReplacedStreamAfterMaxLateTime(t *testing.T) {
+	t.Parallel()
+	setup := startHarnessWith(t, true)
+	first := setup.mustOpen(t, "a")
+	setup.mustReceive(t, first, "item", false)
+	setup.address.Set("b")
+	second := setup.mustOpen(t, "b")
+	setup.mustReceive(t, second, readyItem, true)
+	await(t, first.closed, "the end of the replaced stream")
+}
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -30,6 +30,7 @@
 //   - handover: The old stream has delivered an item since the new stream started, and the snapshot of the new stream
 //     is complete. No change can have been missed, so only the differences between the snapshot and the proxies
 //     reported before are forwarded.
+//     The old stream is read on until it ends. If it was late, it delivers disconnections that the snapshot hides.
 //   - resync: Changes may have been missed, for example after a connection was lost. The whole snapshot is forwarded,
 //     because a proxy may have reconnected without its tables. Once the snapshot is complete, the proxies that it does
 //     not contain are reported as disconnected.
--- a/internal/relay/eventreader.go
+++ b/internal/relay/eventreader.go
@@ -69,6 +69,9 @@
 		Receive: func(item *streamItem, duringHandover bool) (ready bool) {
 			return r.receive(ctx, item, duringHandover)
 		},
+		ReceiveLate: func(item *streamItem) {
+			item.receiveErr = r.merger.receiveLate(ctx, item.event)
+		},
 		Failed: func(err error, duringHandover bool) {
 			if ctx.Err() == nil {
 				r.logFailure(err, duringHandover)
--- a/internal/relay/eventreader_test.go
+++ b/internal/relay/eventreader_test.go
@@ -82,6 +82,29 @@
 	}
 }
 
+// Guards against a proxy that left and joined unseen: the stream at the old address is late, so that the snapshot of the
+// new stream has events that the old one has not delivered yet. The binding of the proxy's tables has ended, so it must
+// be reported as disconnected and connected. Proxies that stay connected must not be reported.
+func TestEventReaderReportsReconnectionThatLateStreamMissed(t *testing.T) {
+	t.Parallel()
+	setup := startHarnessWithHeartbeats(t, 20*time.Millisecond)
+	setup.connectProxies(2)
+	setup.DelayStreams(300 * time.Millisecond)
+	setup.Disconnect(1)
+	setup.Connect(1, "a", 2, false)
+	if err := setup.Move("", time.Second); err != nil {
+		t.Fatal(err)
+	}
+	setup.address.Set(setup.Address())
+	want := []assign.Event{
+		assign.ProxyDisconnected{Proxy: 1},
+		assign.ProxyConnected{Proxy: 1, Zone: "a", TypicalRate: 2},
+	}
+	if got := setup.takeEvents(2); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
 // moveRelay moves the relay to another address. With a probability of one third, the event reader and the order client
 // are first given an address at which nothing listens.
 func (h *harness) moveRelay(t *testing.T, random *rand.Rand) {
--- a/internal/relay/streammerger.go
+++ b/internal/relay/streammerger.go
@@ -38,7 +38,7 @@
 
 // reportedProxy describes a proxy that was last reported as connected.
 type reportedProxy struct {
-	defaultTablesOnly bool // whether the proxy held only its default tables when it was last reported
+	event assign.ProxyConnected // event that reported the proxy
 }
 
 // streamMerger merges successive event streams, two at a time during a handover, into one sequence of events. No
@@ -50,11 +50,14 @@
 	reportedProxies map[int]reportedProxy // proxies last reported as connected, by number
 	decodeFailed    bool                  // whether the last stream ended because an event could not be decoded
 	forwardedItems  int                   // number of items, including heartbeats, that were forwarded on arrival
+	// knownDisconnects is the number of disconnections of each proxy that the active stream has delivered since its
+	// snapshot, or that its snapshot shows, and that the stream it replaced has not delivered yet.
+	knownDisconnects map[int]int
 }
 
 // newStreamMerger returns a streamMerger that has reported no proxy yet.
 func newStreamMerger(sink eventqueue.Sink, log zerolog.Logger) *streamMerger {
-	return &streamMerger{sink: sink, log: log, reportedProxies: map[int]reportedProxy{}}
+	return &streamMerger{sink: sink, log: log, reportedProxies: map[int]reportedProxy{}, knownDisconnects: map[int]int{}}
 }
 
 // receive forwards or buffers an item. It reports whether the stream of the item is in the forwarding state, so that no
@@ -80,6 +83,7 @@
 	case keepBuffering:
 		return false, nil
 	case completeHandover:
+		m.knownDisconnects = map[int]int{}
 		stream.bufferedEvents = m.diffSnapshot(stream.bufferedEvents)
 	case startResync:
 		stream.unconfirmedProxies = maps.Clone(m.reportedProxies)
@@ -143,9 +147,11 @@
 			break
 		}
 		before, reported := m.reportedProxies[proxy.Proxy]
-		nowDefaultTablesOnly := proxy.DefaultTablesOnly && !before.defaultTablesOnly
+		nowDefaultTablesOnly := proxy.DefaultTablesOnly && !before.event.DefaultTablesOnly
 		if !reported || nowDefaultTablesOnly {
 			changes = append(changes, proxy)
+		} else {
+			m.reportedProxies[proxy.Proxy] = reportedProxy{event: proxy}
 		}
 		delete(missingProxies, proxy.Proxy)
 	}
@@ -155,6 +161,29 @@
 	return append(changes, bufferedEvents[snapshotLength:]...)
 }
 
+// receiveLate handles an event that the old stream of a handover delivers after the new stream has replaced it. The two
+// streams deliver the same events. An event that the new stream has not delivered occurred before its snapshot, where a
+// proxy that left and joined looks as if it had stayed. Such a proxy is reported as disconnected and connected, because
+// the binding of its tables has ended. The event is nil for a heartbeat.
+func (m *streamMerger) receiveLate(ctx context.Context, event assign.Event) error {
+	disconnected, ok := event.(assign.ProxyDisconnected)
+	if !ok {
+		return nil
+	}
+	if m.knownDisconnects[disconnected.Proxy] > 0 {
+		m.knownDisconnects[disconnected.Proxy]--
+		return nil
+	}
+	proxy, reported := m.reportedProxies[disconnected.Proxy]
+	if !reported {
+		return nil
+	}
+	if err := m.sink(ctx, disconnected); err != nil {
+		return err
+	}
+	return m.sink(ctx, proxy.event)
+}
+
 // forwardBuffered empties the buffer of a stream and forwards its events.
 func (m *streamMerger) forwardBuffered(ctx context.Context, stream *streamState) error {
 	bufferedEvents := stream.bufferedEvents
@@ -172,7 +201,7 @@
 func (m *streamMerger) forward(ctx context.Context, stream *streamState, event assign.Event) error {
 	if connected, ok := event.(assign.ProxyConnected); ok {
 		delete(stream.unconfirmedProxies, connected.Proxy)
-		m.reportedProxies[connected.Proxy] = reportedProxy{defaultTablesOnly: connected.DefaultTablesOnly}
+		m.reportedProxies[connected.Proxy] = reportedProxy{event: connected}
 		return m.sink(ctx, event)
 	}
 	if err := m.completeResync(ctx, stream); err != nil {
@@ -182,6 +211,7 @@
 	case nil: // the event is nil for a heartbeat
 		return nil
 	case assign.ProxyDisconnected:
+		m.knownDisconnects[event.Proxy]++
 		return m.reportDisconnected(ctx, event.Proxy)
 	}
 	return m.sink(ctx, event)
--- a/internal/relay/streammerger_test.go
+++ b/internal/relay/streammerger_test.go
@@ -175,6 +175,53 @@
 	})
 }
 
+// Events that the old stream delivers after the handover are reported only if they show a reconnection that the new
+// stream's snapshot hides.
+func TestStreamMergerReportsReconnectionsOfLateStream(t *testing.T) {
+	handover := []delivery{
+		{stream: "old", event: connectedEvent(1)},
+		{stream: "old", event: connectedEvent(2)},
+		{stream: "old"},
+		{stream: "new", event: connectedEvent(1), duringHandover: true},
+		{stream: "old"},
+		{stream: "new", duringHandover: true}, // completes the handover; proxy 2 has disconnected
+	}
+	for _, test := range []struct {
+		name       string
+		deliveries []delivery     // items of the new stream after the handover
+		late       []assign.Event // events of the old stream after these items
+		want       []assign.Event // events that are reported for the events of the old stream
+	}{
+		{"nothing happened", nil, []assign.Event{nil, assign.Acknowledged{Proxy: 1}}, nil},
+		{"reconnection before the snapshot", nil, []assign.Event{disconnectedEvent(1), connectedEvent(1)},
+			[]assign.Event{disconnectedEvent(1), connectedEvent(1)}},
+		{"disconnection before the snapshot", nil, []assign.Event{disconnectedEvent(2)}, nil},
+		{"disconnection before the snapshot, connection after it", []delivery{{stream: "new", event: connectedEvent(2)}},
+			[]assign.Event{disconnectedEvent(2), connectedEvent(2)}, nil},
+		{"reconnection after the snapshot", []delivery{{stream: "new", event: disconnectedEvent(1)}, {stream: "new", event: connectedEvent(1)}},
+			[]assign.Event{disconnectedEvent(1), connectedEvent(1)}, nil},
+		{"disconnection of an unknown proxy", nil, []assign.Event{disconnectedEvent(7)}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			merger := newStreamMerger(nil, zerolog.Nop())
+			deliverAll(t.Context(), merger, slices.Concat(handover, test.deliveries))
+			var got []assign.Event
+			merger.sink = func(_ context.Context, event assign.Event) error {
+				got = append(got, event)
+				return nil
+			}
+			for _, event := range test.late {
+				if err := merger.receiveLate(t.Context(), event); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if !reflect.DeepEqual(got, test.want) {
+				t.Errorf("got events %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
+
 // An event that cannot be decoded ends its stream, unless the event is in the snapshot and the previous stream ended
 // with such an event.
 func TestStreamMergerSkipsRepeatedUndecodableEvent(t *testing.T) {
--- a/internal/relaytest/stream.go
+++ b/internal/relaytest/stream.go
@@ -16,17 +16,29 @@
 	maxBufferedEvents = 1000
 )
 
+// streamText is a text that a stream sends at a time.
+type streamText struct {
+	text string
+	at   time.Time
+}
+
+// openStream is an open stream.
+type openStream struct {
+	texts chan streamText // texts that the stream has yet to send
+	delay time.Duration   // time by which the stream is late
+}
+
 // broadcaster sends events on all open streams. The mutex of the relay guards it.
 type broadcaster struct {
-	streams           []chan string // event buffers of the open streams, the oldest stream first
+	streams           []*openStream // open streams, the oldest stream first
 	heartbeatInterval time.Duration // time between two heartbeats on streams that are opened from now on
 }
 
 func newBroadcaster() broadcaster { return broadcaster{heartbeatInterval: defaultHeartbeatInterval} }
 
-// addStream adds a stream with an empty buffer and returns the channel of the stream's events.
-func (b *broadcaster) addStream() chan string {
-	stream := make(chan string, maxBufferedEvents)
+// addStream adds a stream that has nothing to send and is not late.
+func (b *broadcaster) addStream() *openStream {
+	stream := &openStream{texts: make(chan streamText, maxBufferedEvents)}
 	b.streams = append(b.streams, stream)
 	return stream
 }
@@ -35,7 +47,7 @@
 func (b *broadcaster) send(event string) {
 	for _, stream := range slices.Clone(b.streams) {
 		select {
-		case stream <- event:
+		case stream.texts <- streamText{event, time.Now().Add(stream.delay)}:
 		default:
 			b.abortStream(stream)
 		}
@@ -44,12 +56,12 @@
 
 // abortStream removes a stream and closes its channel, so that the stream is aborted once its buffered events have been
 // sent. It does nothing if the stream was removed before.
-func (b *broadcaster) abortStream(stream chan string) {
+func (b *broadcaster) abortStream(stream *openStream) {
 	i := slices.Index(b.streams, stream)
 	if i < 0 {
 		return
 	}
-	close(stream)
+	close(stream.texts)
 	b.streams = slices.Delete(b.streams, i, i+1)
 }
 
@@ -68,6 +80,16 @@
 	r.events.send(heartbeat)
 }
 
+// DelayStreams makes the open streams late: they send each event that occurs after the call by the delay later, in
+// order. Their heartbeats are not late.
+func (r *Relay) DelayStreams(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, stream := range r.events.streams {
+		stream.delay = delay
+	}
+}
+
 // OpenStreamCount returns the number of open streams.
 func (r *Relay) OpenStreamCount() int {
 	r.mu.Lock()
@@ -119,7 +141,7 @@
 // openStream registers a new stream. It returns the channel of the stream's events, the text to send before these
 // events, and the time between two heartbeats. The text is a snapshot: it has a connected event for each connected
 // proxy.
-func (r *Relay) openStream() (stream chan string, snapshot string, heartbeatInterval time.Duration) {
+func (r *Relay) openStream() (stream *openStream, snapshot string, heartbeatInterval time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, id := range slices.Sorted(maps.Keys(r.state.Proxies)) {
@@ -129,7 +151,7 @@
 }
 
 // closeStream removes a stream if it is still registered.
-func (r *Relay) closeStream(stream chan string) {
+func (r *Relay) closeStream(stream *openStream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.events.abortStream(stream)
@@ -145,17 +167,25 @@
 	defer r.closeStream(stream)
 	heartbeats := time.NewTicker(heartbeatInterval)
 	defer heartbeats.Stop()
+	var next streamText // event that is late, or the zero value
 	for {
 		writeText(w, text)
 		if controller.Flush() != nil { // the client has disconnected
 			return
 		}
+		texts, due := stream.texts, (<-chan time.Time)(nil)
+		if next.text != "" {
+			texts, due = nil, time.After(time.Until(next.at))
+		}
 		var streamOpen bool
+		text = ""
 		select {
-		case text, streamOpen = <-stream:
+		case next, streamOpen = <-texts:
 			if !streamOpen {
 				panic(http.ErrAbortHandler) // the panic closes the connection without completing the response
 			}
+		case <-due:
+			text, next = next.text, streamText{}
 		case <-heartbeats.C:
 			text = heartbeat
 		case <-request.Context().Done():
