Traffic reports: a count far above the proxy's typical rate is ignored

Shown in part: with a tick between it and the next report, an overload that begins then gives the seven other proxies of the test model equal rate limits for some ten seconds, whatever they need. Not shown: that the rate takes tens of seconds to fall.

Cause: quotas follow observed rates while no total rate is set. Change: quota.Plausible ignores a report above 100 requests plus 50 times the typical rate; counted (implausible_reports), logged once. Invariant: no report raises a proxy's observed rate above that; kept in proxy.recordTrafficReport. Reports on endpoints stay open.

Red before, green after: TestImplausibleTrafficReportLeavesRateLimits.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -56,6 +56,9 @@
 	// Whether the record of any endpoint has expired, so that default tables of proxies may still hold an endpoint
 	// without a record. Set by deleteExpiredEndpoints and never reset.
 	anyEndpointExpired bool
+	// Number of traffic reports that were ignored because their requests are implausible. Written by
+	// proxy.recordTrafficReport.
+	implausibleReports int
 }
 
 // New returns an Assigner without endpoints and proxies. The seed is the only source of randomness in its decisions.
--- a/assign/proxy.go
+++ b/assign/proxy.go
@@ -217,9 +217,17 @@
 	p.recentMessageTimes = nil
 }
 
-// recordTrafficReport records a traffic report on one request class. Any report makes a connected proxy without a quota
-// join the rate split again.
+// recordTrafficReport records a traffic report on one request class. Any plausible report makes a connected proxy
+// without a quota join the rate split again.
 func (p *proxy) recordTrafficReport(assigner *Assigner, report ProxyTrafficReport) {
+	if !quota.Plausible(float64(report.Requests), report.Interval, p.typicalRate) {
+		assigner.implausibleReports++
+		if assigner.implausibleReports == 1 {
+			assigner.log("implausible traffic report ignored", LogField{"proxy", p.id}, LogField{"requests", report.Requests},
+				LogField{"typical_rate", roundRate(p.typicalRate)})
+		}
+		return
+	}
 	for _, class := range assigner.classes {
 		if class.Name == report.RequestClass && report.Interval > 0 {
 			rate := &p.classRates[class.index]
--- a/assign/quota/quota.go
+++ b/assign/quota/quota.go
@@ -98,6 +98,24 @@
 	return math.Max(m.ObservedRate/total, minQuota)
 }
 
+const (
+	// maxRateFactor is the multiple of its typical rate that a proxy receives at most. Bursts, retries and the traffic of
+	// proxies that died amount to a few times the typical rate.
+	maxRateFactor = 50
+	// plausibleRequests is the number of requests that is plausible in a report of any proxy, because the requests of a
+	// short interval vary by chance.
+	plausibleRequests = 100
+)
+
+// Plausible reports whether a traffic report can be correct. A proxy whose report counts far more requests than it
+// receives would otherwise take most of the total rate from the others. The parameter requests is the number of requests
+// in the report, interval is the time that it covers, in seconds, and typicalRate is the rate of requests that the proxy
+// receives on a typical day, in requests per second. If the typical rate is not above 0, it is unknown, and any report is
+// plausible.
+func Plausible(requests, interval, typicalRate float64) bool {
+	return !(typicalRate > 0) || requests <= plausibleRequests+maxRateFactor*typicalRate*interval
+}
+
 // SmoothRate returns the smoothed rate of a request class at a proxy after a traffic report, in requests per second.
 // The parameter previous is the smoothed rate before the report, requests is the number of requests in the report, and
 // interval is the time in seconds that the report covers, above 0. The weight of the reported rate is that interval as
--- a/assign/quota/quota_test.go
+++ b/assign/quota/quota_test.go
@@ -129,6 +129,28 @@
 	return split, members
 }
 
+func TestPlausible(t *testing.T) {
+	for _, test := range []struct {
+		name                            string
+		requests, interval, typicalRate float64
+		want                            bool
+	}{
+		{"usual report", 20, 1, 10, true},
+		{"at the bound", 600, 1, 10, true},
+		{"above the bound", 601, 1, 10, false},
+		{"long interval", 5100, 10, 10, true},
+		{"low rate, short interval", 100, 0.001, 0.1, true},
+		{"spoilt", 1e9, 1, 10, false},
+		{"typical rate unknown", 1e9, 1, 0, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := quota.Plausible(test.requests, test.interval, test.typicalRate); got != test.want {
+				t.Errorf("got %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
 func TestSmoothRate(t *testing.T) {
 	for _, test := range []struct {
 		name                         string
--- a/assign/report_test.go
+++ b/assign/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 )
 
@@ -31,3 +32,28 @@
 		}
 	}
 }
+
+// Guards against a spoilt traffic report that takes nearly all of the total rate from the other proxies: one report counts
+// a thousand million requests just before an overload. The rate limits of all proxies must be as without it.
+func TestImplausibleTrafficReportLeavesRateLimits(t *testing.T) {
+	rateLimits := func(reports ...Event) (limits []float64) {
+		sim := newFaultFreeModel(t)
+		sim.run(4, 0.5)
+		sim.step(0, reports...)
+		sim.step(1) // a tick before the next report
+		for range 12 {
+			sim.run(1, 2.5)
+			for _, p := range sim.proxies {
+				limits = append(limits, sim.proxyRecord(p.id).rateLimit)
+			}
+		}
+		if sim.assigner.totalRate == 0 {
+			t.Fatal("got no total rate in an overload, want one")
+		}
+		return limits
+	}
+	spoilt := ProxyTrafficReport{Proxy: 1, RequestClass: "read", Interval: 1, Requests: 1e9}
+	if got, want := rateLimits(spoilt), rateLimits(); !slices.Equal(got, want) {
+		t.Errorf("got rate limits %.3g, want %.3g", got, want)
+	}
+}
--- a/assign/stats.go
+++ b/assign/stats.go
@@ -15,6 +15,8 @@
 	// ReducedMessages is the number of messages since the start that were sent with their essential orders alone,
 	// because the order channel had no room for all urgent messages.
 	ReducedMessages int
+	// ImplausibleReports is the number of traffic reports since the start that were ignored; see quota.Plausible.
+	ImplausibleReports int
 	// DefaultTableProxies is the number of connected proxies without assigned tables.
 	DefaultTableProxies int
 }
@@ -25,6 +27,8 @@
 		WaitingProxies:  len(a.scheduler.pendingProxies),
 		LinesInFlight:   a.scheduler.linesInFlight(a.proxies),
 		ReducedMessages: a.scheduler.reducedMessages,
+
+		ImplausibleReports: a.implausibleReports,
 	}
 	for _, p := range a.splitMembers() {
 		stats.ObservedRate += p.observedRate()
--- a/cmd/madderhollow/counters.go
+++ b/cmd/madderhollow/counters.go
@@ -24,6 +24,7 @@
 	Events                        int   `json:"events"`
 	Goroutines                    int   `json:"goroutines"`
 	HeapKB                        int64 `json:"heap_kb"`
+	ImplausibleReports            int   `json:"implausible_reports"`
 	LinesInFlight                 int64 `json:"lines_in_flight"`
 	MalformedLines                int64 `json:"malformed_lines"`
 	MaxOrderWaitMs                int64 `json:"max_order_wait_ms"`
@@ -52,6 +53,7 @@
 		Events:                        loopStats.Events,
 		Goroutines:                    runtime.NumGoroutine(),
 		HeapKB:                        int64(memory.HeapAlloc / bytesPerKB),
+		ImplausibleReports:            loopStats.Decision.ImplausibleReports,
 		LinesInFlight:                 int64(loopStats.Decision.LinesInFlight),
 		MalformedLines:                serverStats.MalformedLines,
 		MaxOrderWaitMs:                queueStats.MaxOrderWait.Milliseconds(),
@@ -78,6 +80,7 @@
 		Int("events", c.Events).
 		Int("goroutines", c.Goroutines).
 		Int64("heap_kb", c.HeapKB).
+		Int("implausible_reports", c.ImplausibleReports).
 		Int64("lines_in_flight", c.LinesInFlight).
 		Int64("malformed_lines", c.MalformedLines).
 		Int64("max_order_wait_ms", c.MaxOrderWaitMs).
