Order queue: forget the merged request of a reused sequence number

Invariant: nothing that the tracker knows of a number is older than its last request; kept in acknowledgmentTracker.recordRequest.

Red before, green after: TestTrackerForgetsMergedRequestOfReusedSequence.

--- a/internal/orderqueue/acknowledgments.go
+++ b/internal/orderqueue/acknowledgments.go
@@ -43,6 +43,9 @@
 	hasSameSequence := func(sequence int) bool { return sequence == request.Sequence }
 	t.splitSequences = slices.DeleteFunc(t.splitSequences, hasSameSequence)
 	t.receivedSequences = slices.DeleteFunc(t.receivedSequences, hasSameSequence)
+	t.mergedRequests = slices.DeleteFunc(t.mergedRequests, func(merged mergedRequest) bool {
+		return merged.lastSequence == request.Sequence
+	})
 	t.requestedSequences = trimOldest(append(t.requestedSequences, request.Sequence))
 	t.allProxiesRequested = t.allProxiesRequested || request.AllProxies
 }
--- a/internal/orderqueue/acknowledgments_test.go
+++ b/internal/orderqueue/acknowledgments_test.go
@@ -57,3 +57,16 @@
 		t.Errorf("got %+v, want nothing known of the earlier batch", tracker)
 	}
 }
+
+// Guards against an acknowledgment that counts for a batch of the previous cycle of sequence numbers: a call combined
+// the batches 4 and 5, and in the next cycle a call contains batch 5 alone.
+func TestTrackerForgetsMergedRequestOfReusedSequence(t *testing.T) {
+	tracker := acknowledgmentTracker{}
+	tracker.recordMergedRequest([]int{4, 5})
+	tracker.recordRequest(assign.AcknowledgmentRequest{Sequence: 5})
+	tracker.recordMergedRequest([]int{5}) // a single batch needs no record
+	got := tracker.recordAcknowledgment(assign.Acknowledged{Proxy: 1, Sequence: 5})
+	if want := []assign.Event{assign.Acknowledged{Proxy: 1, Sequence: 5}}; !reflect.DeepEqual(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
