--- a/assign/quota/quota.go
+++ b/assign/quota/quota.go
@@ -108,10 +108,10 @@
 )
 
 // Plausible reports whether a traffic report can be correct. A proxy whose report counts far more requests than it
-// receives would otherwise take most of the total rate from the others. The parameter requests is the number of requests
-// in the report, interval is the time that it covers, in seconds, and typicalRate is the rate of requests that the proxy
-// receives on a typical day, in requests per second. If the typical rate is not above 0, it is unknown, and any report is
-// plausible.
+// receives would otherwise take most of the total rate from the others. The parameter requests is the number of
+// requests in the report, interval is the time that it covers, in seconds, and typicalRate is the rate of requests that
+// the proxy receives on a typical day, in requests per second. If the typical rate is not above 0, it is unknown, and
+// any report is plausible.
 func Plausible(requests, interval, typicalRate float64) bool {
 	return !(typicalRate > 0) || requests <= plausibleRequests+maxRateFactor*typicalRate*interval
 }
--- a/assign/report_test.go
+++ b/assign/report_test.go
@@ -52,8 +52,8 @@
 		}
 		return limits
 	}
-	spoilt := ProxyTrafficReport{Proxy: 1, RequestClass: "read", Interval: 1, Requests: 1e9}
-	if got, want := rateLimits(spoilt), rateLimits(); !slices.Equal(got, want) {
+	implausible := ProxyTrafficReport{Proxy: 1, RequestClass: "read", Interval: 1, Requests: 1e9}
+	if got, want := rateLimits(implausible), rateLimits(); !slices.Equal(got, want) {
 		t.Errorf("got rate limits %.3g, want %.3g", got, want)
 	}
 }
