--- a/assign/quota/quota.go
+++ b/assign/quota/quota.go
@@ -99,8 +99,8 @@
 }
 
 const (
-	// maxRateFactor is the multiple of its typical rate that a proxy receives at most. Bursts, retries and the traffic of
-	// proxies that died amount to a few times the typical rate.
+	// maxRateFactor is the multiple of its typical rate that a proxy receives at most. Bursts, retries and the traffic
+	// of proxies that died amount to a few times the typical rate.
 	maxRateFactor = 50
 	// plausibleRequests is the number of requests that is plausible in a report of any proxy, because the requests of a
 	// short interval vary by chance.
